--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GOLANGCI_VERSION := v2.14.0
+TOOLS := $(CURDIR)/.tools/bin
+LINT := $(TOOLS)/golangci-lint
+
+.PHONY: build tools format lint test check faults bench demo
+
+build:
+	go build -o bin/ . ./cmd/...
+
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+tools: $(LINT)
+
+format: $(LINT)
+	$(LINT) fmt
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+test: build
+	go run ./cmd/prover test -- -race -timeout 20m ./...
+
+check: lint build test
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command currantledge is a load balancer for expert-parallel model groups.
+package main
+
+func main() {}
