Add shared identifiers, log events, messages between processes and their codec

Cause: every part of the design builds on these packages, so they come first. Ruled out: struct tags on the domain messages, which the house style excludes; reflection-based mapping, which hides lost fields. Conclusion: the parts can be built side by side.

--- /dev/null
+++ b/internal/connection/encoder/encoder.go
@@ -0,0 +1,217 @@
+// Package encoder maps the messages between processes to and from frames: a 4-byte big-endian length, a 1-byte type and
+// a CBOR body with camelCase keys.
+package encoder
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+const (
+	lengthBytes = 4
+	tagBytes    = 1
+	// MaxFrameBytes bounds a frame, so that a faulty peer cannot exhaust memory.
+	MaxFrameBytes = 32 << 20
+)
+
+// FrameError tells that a peer sent a frame that this version cannot read.
+type FrameError struct{ Cause string }
+
+// Error names the cause and the remedy.
+func (e *FrameError) Error() string {
+	return "unreadable frame: " + e.Cause + "; run the same version of currantledge on both nodes"
+}
+
+type tag byte
+
+const (
+	tagHello tag = iota + 1
+	tagHeartbeat
+	tagDemand
+	tagGrant
+	tagReturnGrant
+	tagPullChanges
+	tagChanges
+	tagGossip
+	tagDispatch
+	tagAttach
+	tagInquire
+	tagAck
+	tagCancel
+	tagStarted
+	tagRefused
+	tagHead
+	tagData
+	tagEnd
+	tagBroken
+	tagClaimHeld
+)
+
+// Write sends one message as one frame.
+func Write(w io.Writer, m messenger.Message) error {
+	kind, body, err := toWire(m)
+	if err != nil {
+		return err
+	}
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	if len(raw) > MaxFrameBytes-tagBytes {
+		return &FrameError{Cause: "message is larger than 32 MiB"}
+	}
+	frame := make([]byte, lengthBytes+tagBytes+len(raw))
+	binary.BigEndian.PutUint32(frame, uint32(tagBytes+len(raw)))
+	frame[lengthBytes] = byte(kind)
+	copy(frame[lengthBytes+tagBytes:], raw)
+	_, err = w.Write(frame)
+	return errors.Wrap(err, "write frame")
+}
+
+// Read receives one message. It returns io.EOF if the stream ends before a frame starts.
+func Read(r io.Reader) (messenger.Message, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size < tagBytes || size > MaxFrameBytes {
+		return nil, &FrameError{Cause: "length out of range"}
+	}
+	frame := make([]byte, size)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return nil, errors.Wrap(err, "read frame")
+	}
+	return fromWire(tag(frame[0]), frame[tagBytes:])
+}
+
+func toWire(m messenger.Message) (tag, any, error) {
+	switch m := m.(type) {
+	case messenger.Hello:
+		return tagHello, encodeHello(m), nil
+	case messenger.Heartbeat:
+		return tagHeartbeat, encodeHeartbeat(m), nil
+	case messenger.Demand:
+		return tagDemand, encodeDemand(m), nil
+	case messenger.Grant:
+		return tagGrant, encodeGrant(m), nil
+	case messenger.ReturnGrant:
+		return tagReturnGrant, encodeReturnGrant(m), nil
+	case messenger.PullChanges:
+		return tagPullChanges, encodePullChanges(m), nil
+	case messenger.Changes:
+		return tagChanges, encodeChanges(m), nil
+	case messenger.Gossip:
+		return tagGossip, encodeGossip(m), nil
+	case messenger.Dispatch:
+		return tagDispatch, encodeDispatch(m), nil
+	case messenger.Attach:
+		return tagAttach, encodeAttach(m), nil
+	case messenger.Inquire:
+		return tagInquire, encodeInquire(m), nil
+	case messenger.Ack:
+		return tagAck, encodeAck(m), nil
+	case messenger.Cancel:
+		return tagCancel, wireCancel{}, nil
+	case messenger.Started:
+		return tagStarted, encodeStarted(m), nil
+	case messenger.Refused:
+		return tagRefused, encodeRefused(m), nil
+	case messenger.Head:
+		return tagHead, encodeHead(m), nil
+	case messenger.Data:
+		return tagData, encodeData(m), nil
+	case messenger.End:
+		return tagEnd, encodeEnd(m), nil
+	case messenger.Broken:
+		return tagBroken, encodeBroken(m), nil
+	case messenger.ClaimHeld:
+		return tagClaimHeld, encodeClaimHeld(m), nil
+	}
+	return 0, nil, errors.AssertionFailedf("message %T has no wire form", m)
+}
+
+func fromWire(kind tag, body []byte) (messenger.Message, error) {
+	switch kind {
+	case tagHello:
+		return decodeAs(body, decodeHello)
+	case tagHeartbeat:
+		return decodeAs(body, decodeHeartbeat)
+	case tagDemand:
+		return decodeAs(body, decodeDemand)
+	case tagGrant:
+		return decodeAs(body, decodeGrant)
+	case tagReturnGrant:
+		return decodeAs(body, decodeReturnGrant)
+	case tagPullChanges:
+		return decodeAs(body, decodePullChanges)
+	case tagChanges:
+		return decodeAs(body, decodeChanges)
+	case tagGossip:
+		return decodeAs(body, decodeGossip)
+	case tagDispatch:
+		return decodeAs(body, decodeDispatch)
+	case tagAttach:
+		return decodeAs(body, decodeAttach)
+	case tagInquire:
+		return decodeAs(body, decodeInquire)
+	case tagAck:
+		return decodeAs(body, decodeAck)
+	case tagCancel:
+		return messenger.Cancel{}, nil
+	case tagStarted:
+		return decodeAs(body, decodeStarted)
+	case tagRefused:
+		return decodeAs(body, decodeRefused)
+	case tagHead:
+		return decodeAs(body, decodeHead)
+	case tagData:
+		return decodeAs(body, decodeData)
+	case tagEnd:
+		return decodeAs(body, decodeEnd)
+	case tagBroken:
+		return decodeAs(body, decodeBroken)
+	case tagClaimHeld:
+		return decodeAs(body, decodeClaimHeld)
+	}
+	return nil, &FrameError{Cause: "unknown message type"}
+}
+
+func decodeAs[W any, M messenger.Message](body []byte, convert func(W) M) (messenger.Message, error) {
+	var w W
+	if err := cbor.Unmarshal(body, &w); err != nil {
+		return nil, &FrameError{Cause: err.Error()}
+	}
+	return convert(w), nil
+}
+
+func mapAll[F, T any](from []F, convert func(F) T) []T {
+	if len(from) == 0 {
+		return nil
+	}
+	out := make([]T, len(from))
+	for i, f := range from {
+		out[i] = convert(f)
+	}
+	return out
+}
+
+func mapOptional[F, T any](from *F, convert func(F) T) *T {
+	if from == nil {
+		return nil
+	}
+	out := convert(*from)
+	return &out
+}
+
+func decodeRequest(raw []byte) identifier.Request {
+	var r identifier.Request
+	copy(r[:], raw)
+	return r
+}
--- /dev/null
+++ b/internal/process/logger/events.go
@@ -0,0 +1,112 @@
+package logger
+
+import (
+	"sort"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is the number of a log event. Numbers are never reused; docs/events.md lists them.
+type Event int
+
+// The numbered events. 1xx process, 2xx links and membership, 3xx requests, 4xx admission and claims,
+// 5xx configuration, 6xx groups and placement.
+const (
+	EventStarted        Event = 100
+	EventStopping       Event = 101
+	EventStopped        Event = 102
+	EventListenFailed   Event = 103
+	EventLinkUp         Event = 200
+	EventLinkDown       Event = 201
+	EventLinkRefused    Event = 202
+	EventNodeState      Event = 203
+	EventRouted         Event = 300
+	EventResumed        Event = 301
+	EventReattached     Event = 302
+	EventCompleted      Event = 303
+	EventRefused        Event = 304
+	EventUnknown        Event = 305
+	EventCancelled      Event = 306
+	EventGranted        Event = 400
+	EventLimitChanged   Event = 401
+	EventDispatched     Event = 402
+	EventClaimed        Event = 403
+	EventClaimHeld      Event = 404
+	EventClaimUnsure    Event = 405
+	EventUpstreamFailed Event = 406
+	EventSuspected      Event = 407
+	EventDraining       Event = 408
+	EventConfigAdopted  Event = 500
+	EventConfigWritten  Event = 501
+	EventConfigConflict Event = 502
+	EventConfigPulled   Event = 503
+	EventPlatformFailed Event = 504
+	EventLeaseTaken     Event = 600
+	EventLeaseLost      Event = 601
+	EventMapPrepared    Event = 602
+	EventMapDecided     Event = 603
+	EventMapPlaced      Event = 604
+	EventOrderRefused   Event = 605
+	EventModelAssigned  Event = 606
+)
+
+type entry struct {
+	level   zerolog.Level
+	message string
+}
+
+var catalogue = map[Event]entry{
+	EventStarted:        {zerolog.InfoLevel, "process started"},
+	EventStopping:       {zerolog.InfoLevel, "graceful shutdown started"},
+	EventStopped:        {zerolog.InfoLevel, "process stopped"},
+	EventListenFailed:   {zerolog.ErrorLevel, "listener failed"},
+	EventLinkUp:         {zerolog.InfoLevel, "link established"},
+	EventLinkDown:       {zerolog.WarnLevel, "link lost"},
+	EventLinkRefused:    {zerolog.WarnLevel, "link refused"},
+	EventNodeState:      {zerolog.InfoLevel, "node state changed"},
+	EventRouted:         {zerolog.InfoLevel, "request routed"},
+	EventResumed:        {zerolog.InfoLevel, "stream resumed on another upstream"},
+	EventReattached:     {zerolog.InfoLevel, "stream re-attached over a new connection"},
+	EventCompleted:      {zerolog.InfoLevel, "request complete"},
+	EventRefused:        {zerolog.InfoLevel, "request refused, not run"},
+	EventUnknown:        {zerolog.WarnLevel, "request outcome unknown"},
+	EventCancelled:      {zerolog.InfoLevel, "request cancelled"},
+	EventGranted:        {zerolog.DebugLevel, "credits granted"},
+	EventLimitChanged:   {zerolog.InfoLevel, "upstream limit changed"},
+	EventDispatched:     {zerolog.InfoLevel, "request dispatched to the upstream"},
+	EventClaimed:        {zerolog.InfoLevel, "idempotency key claimed"},
+	EventClaimHeld:      {zerolog.InfoLevel, "idempotency key already claimed"},
+	EventClaimUnsure:    {zerolog.WarnLevel, "claim write unresolved, request not started"},
+	EventUpstreamFailed: {zerolog.WarnLevel, "upstream failed"},
+	EventSuspected:      {zerolog.WarnLevel, "request digest suspected of crashing upstreams"},
+	EventDraining:       {zerolog.InfoLevel, "drain state changed"},
+	EventConfigAdopted:  {zerolog.InfoLevel, "configuration revision in force"},
+	EventConfigWritten:  {zerolog.InfoLevel, "configuration change accepted"},
+	EventConfigConflict: {zerolog.InfoLevel, "configuration change conflicts"},
+	EventConfigPulled:   {zerolog.DebugLevel, "configuration changes pulled from a peer"},
+	EventPlatformFailed: {zerolog.WarnLevel, "platform request failed"},
+	EventLeaseTaken:     {zerolog.InfoLevel, "group lease taken"},
+	EventLeaseLost:      {zerolog.WarnLevel, "group lease lost"},
+	EventMapPrepared:    {zerolog.InfoLevel, "expert map prepared"},
+	EventMapDecided:     {zerolog.InfoLevel, "expert map decided"},
+	EventMapPlaced:      {zerolog.InfoLevel, "expert placement chosen"},
+	EventOrderRefused:   {zerolog.WarnLevel, "order with an old fencing number refused"},
+	EventModelAssigned:  {zerolog.InfoLevel, "model assignment chosen"},
+}
+
+// Described is one row of the event catalogue.
+type Described struct {
+	Event   Event
+	Level   string
+	Message string
+}
+
+// Catalogue returns all events in ascending order.
+func Catalogue() []Described {
+	out := make([]Described, 0, len(catalogue))
+	for number, e := range catalogue {
+		out = append(out, Described{Event: number, Level: e.level.String(), Message: e.message})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Event < out[j].Event })
+	return out
+}
--- /dev/null
+++ b/internal/process/supervisor/supervisor.go
@@ -0,0 +1,39 @@
+// Package supervisor runs the long-lived parts of a process as one group that stops together.
+package supervisor
+
+import (
+	"context"
+
+	"github.com/oklog/run"
+)
+
+// Actor is a part of a process. It returns when its context is cancelled or when it fails.
+type Actor func(ctx context.Context) error
+
+// Group starts actors together and stops all of them when the first returns.
+type Group struct {
+	ctx   context.Context
+	group run.Group
+}
+
+// New returns an empty group whose actors also stop when ctx is cancelled.
+func New(ctx context.Context) *Group {
+	g := &Group{ctx: ctx}
+	g.Add(func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	})
+	return g
+}
+
+// Add registers an actor. All actors are added before Run.
+func (g *Group) Add(actor Actor) {
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
+}
+
+// Run starts all actors, waits for the first to return, cancels the others and returns the first error
+// after every actor has returned.
+func (g *Group) Run() error {
+	return g.group.Run()
+}
