--- /dev/null
+++ b/internal/connection/listener/listener.go
@@ -0,0 +1,67 @@
+// Package listener accepts links from other processes.
+package listener
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/process/logger"
+)
+
+// Config holds what a listener needs.
+type Config struct {
+	Address string
+	Link    linker.Config
+	Log     *logger.Logger
+	// Serve uses an accepted link until it is down.
+	Serve func(ctx context.Context, link *linker.Link) error
+}
+
+// Listener accepts links on one UDP address.
+type Listener struct {
+	cfg  Config
+	quic *quic.Listener
+}
+
+// New opens the address.
+func New(cfg Config) (*Listener, error) {
+	q, err := quic.ListenAddr(cfg.Address, cfg.Link.Credentials.ServerTLS(), linker.QUIC())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on fleet address %s; choose a free address", cfg.Address)
+	}
+	return &Listener{cfg: cfg, quic: q}, nil
+}
+
+// Run accepts links until ctx ends and returns after all of them are closed.
+func (l *Listener) Run(ctx context.Context) error {
+	var links sync.WaitGroup
+	defer links.Wait()
+	defer l.quic.Close()
+	for {
+		conn, err := l.quic.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept link")
+		}
+		links.Go(func() { l.serve(ctx, conn) })
+	}
+}
+
+func (l *Listener) serve(ctx context.Context, conn *quic.Conn) {
+	link, err := linker.Greet(ctx, l.cfg.Link, conn, false)
+	if err != nil {
+		_ = conn.CloseWithError(0, "greeting failed")
+		l.cfg.Log.Event(logger.EventLinkRefused).Stringer("address", conn.RemoteAddr()).AnErr("cause", err).Send()
+		return
+	}
+	peer := string(link.Peer().Node)
+	l.cfg.Log.Event(logger.EventLinkUp).Str("peer", peer).Stringer("address", conn.RemoteAddr()).Send()
+	err = l.cfg.Serve(ctx, link)
+	l.cfg.Log.Event(logger.EventLinkDown).Str("peer", peer).AnErr("cause", err).Send()
+}
--- /dev/null
+++ b/internal/request/queuer/queuer.go
@@ -0,0 +1,239 @@
+// Package queuer holds the requests that wait at an entry and matches them with the credits that agents grant.
+// It is a state machine without goroutines or I/O and is not safe for concurrent use.
+package queuer
+
+import (
+	"sort"
+	"time"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+const (
+	firstWidth = 2
+	// widenAfter is how long a request asks its preferred upstreams alone. It is longer than a round trip
+	// within a region, so that an idle preferred upstream is not passed over.
+	widenAfter = 20 * time.Millisecond
+	// wideAfter is when a request asks all its upstreams.
+	wideAfter = 80 * time.Millisecond
+	// expiryMargin keeps credits from being used while they expire at the agent.
+	expiryMargin = 100 * time.Millisecond
+)
+
+// Waiter is a request that waits for a credit.
+type Waiter struct {
+	Request  identifier.Request
+	Customer identifier.Customer
+	// Candidates are the upstreams that may serve the request, the preferred one first.
+	Candidates []identifier.Upstream
+	// Narrow restricts the request to its first candidate.
+	Narrow bool
+
+	since time.Time
+	order uint64
+}
+
+// Match pairs a waiting request with a credit.
+type Match struct {
+	Request     identifier.Request
+	Upstream    identifier.Upstream
+	Incarnation identifier.Incarnation
+	Serial      identifier.Serial
+}
+
+// credit is a grant that is not used up.
+type credit struct {
+	grant   messenger.Grant
+	left    identifier.Credits
+	expires time.Time
+}
+
+// Returned is a part of a grant to give back to an upstream.
+type Returned struct {
+	Upstream identifier.Upstream
+	Return   messenger.ReturnGrant
+}
+
+// Queuer matches waiting requests and credits.
+type Queuer struct {
+	waiting map[identifier.Request]*Waiter
+	credits map[identifier.Upstream][]*credit
+	next    uint64
+}
+
+// New returns an empty queuer.
+func New() *Queuer {
+	return &Queuer{
+		waiting: map[identifier.Request]*Waiter{},
+		credits: map[identifier.Upstream][]*credit{},
+	}
+}
+
+// Waiting returns how many requests of a customer wait.
+func (q *Queuer) Waiting(customer identifier.Customer) int {
+	count := 0
+	for _, w := range q.waiting {
+		if w.Customer == customer {
+			count++
+		}
+	}
+	return count
+}
+
+// Add puts a request in the queue, or replaces its candidates if it waits already, and matches it if a held
+// credit fits.
+func (q *Queuer) Add(now time.Time, w Waiter) []Match {
+	q.next++
+	w.order, w.since = q.next, now
+	if old, ok := q.waiting[w.Request]; ok {
+		w.order, w.since = old.order, old.since
+	}
+	q.waiting[w.Request] = &w
+	return q.match(now)
+}
+
+// Remove takes a request out of the queue. It reports whether the request was waiting.
+func (q *Queuer) Remove(id identifier.Request) bool {
+	_, ok := q.waiting[id]
+	delete(q.waiting, id)
+	return ok
+}
+
+// Grant adds credits of an upstream and returns the requests that they admit.
+func (q *Queuer) Grant(now time.Time, upstream identifier.Upstream, g messenger.Grant) []Match {
+	q.credits[upstream] = append(q.credits[upstream], &credit{
+		grant: g, left: g.Credits, expires: now.Add(g.Lifetime - expiryMargin),
+	})
+	return q.match(now)
+}
+
+// Drop forgets the credits of an upstream whose link is down.
+func (q *Queuer) Drop(upstream identifier.Upstream) {
+	delete(q.credits, upstream)
+}
+
+// Tick matches requests whose set of upstreams has widened and drops expired credits.
+func (q *Queuer) Tick(now time.Time) []Match {
+	return q.match(now)
+}
+
+// Surplus takes back the credits for which no request waits and returns them.
+func (q *Queuer) Surplus() []Returned {
+	var out []Returned
+	for upstream, credits := range q.credits {
+		var kept []*credit
+		for _, c := range credits {
+			if q.wanted(upstream, c.grant.Customer) {
+				kept = append(kept, c)
+				continue
+			}
+			out = append(out, Returned{Upstream: upstream, Return: messenger.ReturnGrant{Serial: c.grant.Serial, Credits: c.left}})
+		}
+		q.credits[upstream] = kept
+	}
+	return out
+}
+
+func (q *Queuer) wanted(upstream identifier.Upstream, customer identifier.Customer) bool {
+	for _, w := range q.waiting {
+		if w.Customer == customer && w.accepts(upstream, len(w.Candidates)) {
+			return true
+		}
+	}
+	return false
+}
+
+// DemandOn returns how many requests of each customer ask an upstream now.
+func (q *Queuer) DemandOn(now time.Time, upstream identifier.Upstream) []messenger.CustomerDemand {
+	counts := map[identifier.Customer]int{}
+	for _, w := range q.waiting {
+		if w.accepts(upstream, w.width(now)) {
+			counts[w.Customer]++
+		}
+	}
+	out := make([]messenger.CustomerDemand, 0, len(counts))
+	for customer, waiting := range counts {
+		out = append(out, messenger.CustomerDemand{Customer: customer, Waiting: waiting})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Customer < out[j].Customer })
+	return out
+}
+
+// match serves requests in the order of arrival, each from its most preferred upstream with a credit.
+func (q *Queuer) match(now time.Time) []Match {
+	q.expire(now)
+	if len(q.credits) == 0 {
+		return nil
+	}
+	ordered := make([]*Waiter, 0, len(q.waiting))
+	for _, w := range q.waiting {
+		ordered = append(ordered, w)
+	}
+	sort.Slice(ordered, func(i, j int) bool { return ordered[i].order < ordered[j].order })
+	var out []Match
+	for _, w := range ordered {
+		if m, ok := q.take(now, w); ok {
+			delete(q.waiting, w.Request)
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (q *Queuer) take(now time.Time, w *Waiter) (Match, bool) {
+	for _, upstream := range w.Candidates[:w.width(now)] {
+		for _, c := range q.credits[upstream] {
+			if c.grant.Customer != w.Customer || c.left == 0 {
+				continue
+			}
+			c.left--
+			return Match{
+				Request: w.Request, Upstream: upstream, Incarnation: c.grant.Incarnation, Serial: c.grant.Serial,
+			}, true
+		}
+	}
+	return Match{}, false
+}
+
+func (q *Queuer) expire(now time.Time) {
+	for upstream, credits := range q.credits {
+		kept := credits[:0]
+		for _, c := range credits {
+			if c.left > 0 && now.Before(c.expires) {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(q.credits, upstream)
+			continue
+		}
+		q.credits[upstream] = kept
+	}
+}
+
+// width is the number of candidates that the request asks now. A request asks few upstreams first, so that
+// credits are not held for it where it will not go.
+func (w *Waiter) width(now time.Time) int {
+	if w.Narrow {
+		return min(1, len(w.Candidates))
+	}
+	waited := now.Sub(w.since)
+	switch {
+	case waited < widenAfter:
+		return min(firstWidth, len(w.Candidates))
+	case waited < wideAfter:
+		return min(2*firstWidth, len(w.Candidates))
+	default:
+		return len(w.Candidates)
+	}
+}
+
+func (w *Waiter) accepts(upstream identifier.Upstream, width int) bool {
+	for _, candidate := range w.Candidates[:width] {
+		if candidate == upstream {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/request/refuser/refuser.go
@@ -0,0 +1,151 @@
+// Package refuser holds the outcomes of requests and their RFC 9457 problem details.
+package refuser
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+// Outcome tells a caller what became of its request.
+type Outcome string
+
+// The outcomes of requests that are not complete.
+const (
+	// OutcomeNotRun means that nothing has started and that the request may be sent again.
+	OutcomeNotRun Outcome = "notRun"
+	// OutcomeUnknown means that the request may have run and was not repeated.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// ContentType is the media type of problem details.
+const ContentType = "application/problem+json"
+
+// Problem is the reason why a request is not complete. It never names another customer and never holds content.
+type Problem struct {
+	Outcome    Outcome
+	Reason     messenger.Reason
+	Status     int
+	Title      string
+	Remedy     string
+	RetryAfter time.Duration
+	Request    identifier.Request
+}
+
+// Error returns the title and the remedy.
+func (p *Problem) Error() string {
+	return p.Title + "; " + p.Remedy
+}
+
+type text struct {
+	status int
+	title  string
+	remedy string
+}
+
+const (
+	remedyResend  = "send the request again after the time in Retry-After"
+	remedyAskBack = "ask the service whether the request took effect before sending it again"
+)
+
+var notRun = map[messenger.Reason]text{
+	messenger.ReasonNoCredit:        {http.StatusServiceUnavailable, "no upstream could take the request", remedyResend},
+	messenger.ReasonOldIncarnation:  {http.StatusServiceUnavailable, "the upstream was restarted", remedyResend},
+	messenger.ReasonDraining:        {http.StatusServiceUnavailable, "the upstream is leaving", remedyResend},
+	messenger.ReasonOverloaded:      {http.StatusServiceUnavailable, "the upstream is overloaded", remedyResend},
+	messenger.ReasonUnreachable:     {http.StatusServiceUnavailable, "the upstream cannot be reached", remedyResend},
+	messenger.ReasonNoUpstream:      {http.StatusServiceUnavailable, "no upstream is in service", "send the request again later; operators find the reason with currantledge status"},
+	messenger.ReasonWaitedTooLong:   {http.StatusServiceUnavailable, "all upstreams stayed busy", remedyResend},
+	messenger.ReasonQueueFull:       {http.StatusTooManyRequests, "too many requests of this customer are waiting", "send fewer requests at a time, or ask the operators for a larger maxWaiting"},
+	messenger.ReasonTableDown:       {http.StatusServiceUnavailable, "the platform's table is unreachable, so the Idempotency-Key cannot be claimed", remedyResend},
+	messenger.ReasonQuarantined:     {http.StatusUnprocessableEntity, "upstreams failed while running this request", "do not send this request again unchanged; give its id to the operators"},
+	messenger.ReasonKeyMismatch:     {http.StatusUnprocessableEntity, "the Idempotency-Key was used for another request", "use a new Idempotency-Key for each request"},
+	messenger.ReasonMalformed:       {http.StatusBadRequest, "the request is malformed", "correct the request as the title says"},
+	messenger.ReasonUnauthenticated: {http.StatusUnauthorized, "the bearer key is missing or unknown", "send Authorization: Bearer with a key of your customer"},
+	messenger.ReasonUnknownTarget:   {http.StatusNotFound, "no such model or service", "use a name that the operators have declared"},
+	messenger.ReasonNotFound:        {http.StatusServiceUnavailable, "the request did not reach the upstream", remedyResend},
+	messenger.ReasonWithdrawn:       {http.StatusServiceUnavailable, "the request was withdrawn", remedyResend},
+}
+
+var unknown = map[messenger.Reason]text{
+	messenger.ReasonUpstreamDied:    {http.StatusBadGateway, "the upstream failed while it ran the request", remedyAskBack},
+	messenger.ReasonUpstreamError:   {http.StatusBadGateway, "the upstream broke off its answer", remedyAskBack},
+	messenger.ReasonAgentLost:       {http.StatusBadGateway, "the connection to the upstream's VM was lost", remedyAskBack},
+	messenger.ReasonDeadline:        {http.StatusGatewayTimeout, "the request took too long", remedyAskBack},
+	messenger.ReasonClaimUnresolved: {http.StatusConflict, "an earlier attempt with this Idempotency-Key may have run", remedyAskBack},
+	messenger.ReasonMismatch:        {http.StatusBadGateway, "the answer failed its integrity check", remedyAskBack},
+}
+
+// NotRun returns the problem of a request that has not started.
+func NotRun(reason messenger.Reason, retryAfter time.Duration) *Problem {
+	t, ok := notRun[reason]
+	if !ok {
+		t = notRun[messenger.ReasonNoCredit]
+	}
+	return &Problem{
+		Outcome: OutcomeNotRun, Reason: reason, Status: t.status, Title: t.title, Remedy: t.remedy, RetryAfter: retryAfter,
+	}
+}
+
+// Malformed returns the problem of a request that cannot be understood.
+func Malformed(title string) *Problem {
+	p := NotRun(messenger.ReasonMalformed, 0)
+	p.Title = title
+	return p
+}
+
+// Unknown returns the problem of a request that may have run.
+func Unknown(reason messenger.Reason) *Problem {
+	t, ok := unknown[reason]
+	if !ok {
+		t = unknown[messenger.ReasonUpstreamError]
+	}
+	return &Problem{Outcome: OutcomeUnknown, Reason: reason, Status: t.status, Title: t.title, Remedy: t.remedy}
+}
+
+// wireProblem is the JSON form of problem details.
+type wireProblem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+	Cause   string `json:"cause"`
+	Remedy  string `json:"remedy"`
+	Request string `json:"request"`
+}
+
+// JSON returns the problem details.
+func (p *Problem) JSON() []byte {
+	raw, err := json.Marshal(wireProblem{
+		Type:    "https://currantledge.example/problems/" + string(p.Reason),
+		Title:   p.Title,
+		Status:  p.Status,
+		Detail:  p.Error(),
+		Outcome: string(p.Outcome),
+		Cause:   string(p.Reason),
+		Remedy:  p.Remedy,
+		Request: p.Request.String(),
+	})
+	if err != nil {
+		// A struct of strings and a number always encodes.
+		panic(err)
+	}
+	return raw
+}
+
+// Write answers an HTTP request with the problem.
+func (p *Problem) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", ContentType)
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	// The caller may be gone; nothing else can be told to it.
+	_, _ = w.Write(p.JSON())
+}
