Resources and settings: decoding with positions and validation

Cause: every role needs its settings, and every process needs the resources, before anything else can be wired. Ruled out: decoding through struct tags, which stops at the first problem and knows no positions; a reader of its own in both loader and declarer, which would repeat the same checks. Change: parser reads JSON with comments field by field and collects all problems with file, line, column, field, value and remedy. declarer holds the resource types, their text form and the checks between resources. loader holds the settings of entry and agent, and expands one text with common settings into those of several nodes. Values that may be keys are never repeated in a problem. Conclusion: unknown fields, impossible values and broken references are refused at once, with positions.

--- /dev/null
+++ b/internal/process/loader/loader.go
@@ -0,0 +1,211 @@
+// Package loader reads the settings of entries and agents from JSON with comments and validates them. The settings
+// are read-only after loading.
+package loader
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/parser"
+)
+
+// Routing selects how an entry chooses upstreams.
+type Routing string
+
+// The ways of routing. All but RoutingBalanced are baselines for comparison.
+const (
+	RoutingBalanced    Routing = "balanced"
+	RoutingRoundRobin  Routing = "roundRobin"
+	RoutingLeastLoaded Routing = "leastLoaded"
+)
+
+// UpstreamKind tells what protocol an upstream speaks.
+type UpstreamKind string
+
+// The kinds of upstreams.
+const (
+	UpstreamEngine  UpstreamKind = "engine"
+	UpstreamService UpstreamKind = "service"
+)
+
+// Keys holds the paths of the PEM files that identify a node to the fleet.
+type Keys struct {
+	Authority   string
+	Certificate string
+	Key         string
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Node          identifier.Node
+	FailureDomain identifier.FailureDomain
+	// Callers, Operators and Fleet are listen addresses.
+	Callers   string
+	Operators string
+	Fleet     string
+	// Advertise is the fleet address that peers connect to.
+	Advertise string
+	// Peers are fleet addresses of some entries.
+	Peers              []string
+	Platform           string
+	Keys               Keys
+	OperatorKeyDigests []identifier.Digest
+	LogLevel           zerolog.Level
+	Routing            Routing
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Node          identifier.Node
+	FailureDomain identifier.FailureDomain
+	Upstream      identifier.Upstream
+	UpstreamURL   string
+	UpstreamKind  UpstreamKind
+	// Fleet is a listen address.
+	Fleet string
+	// Advertise is the fleet address that peers connect to.
+	Advertise string
+	// Peers are fleet addresses of some entries.
+	Peers    []string
+	Platform string
+	Keys     Keys
+	LogLevel zerolog.Level
+	// Metrics is the listen address of the health endpoints and variables. They are not served if it is empty.
+	Metrics string
+}
+
+// Problem is one fault with its position.
+type Problem = parser.Problem
+
+// InvalidError lists every problem of a text.
+type InvalidError = parser.InvalidError
+
+// LoadEntry reads the settings of an entry from a file.
+func LoadEntry(path string) (Entry, error) {
+	return load(path, ParseEntry)
+}
+
+// LoadAgent reads the settings of an agent from a file.
+func LoadAgent(path string) (Agent, error) {
+	return load(path, ParseAgent)
+}
+
+// ParseEntry reads the settings of an entry. The source names the text in errors.
+func ParseEntry(source string, text []byte) (Entry, error) {
+	return parse(source, text, decodeEntry)
+}
+
+// ParseAgent reads the settings of an agent. The source names the text in errors.
+func ParseAgent(source string, text []byte) (Agent, error) {
+	return parse(source, text, decodeAgent)
+}
+
+func load[T any](path string, parseText func(string, []byte) (T, error)) (T, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, errors.Wrap(err, "read the settings; give the path of a readable file")
+	}
+	return parseText(path, text)
+}
+
+func parse[T any](source string, text []byte, decode func(*parser.Object) T) (T, error) {
+	var none T
+	document, object := parser.Parse(source, text)
+	if object == nil {
+		return none, document.Err()
+	}
+	settings := decode(object)
+	if err := document.Err(); err != nil {
+		return none, err
+	}
+	return settings, nil
+}
+
+func decodeEntry(o *parser.Object) Entry {
+	defer o.Close()
+	e := Entry{
+		Node:               identifier.Node(o.Text("node", parser.Name())),
+		FailureDomain:      identifier.FailureDomain(o.Text("failureDomain", parser.Name())),
+		Callers:            o.Text("callers", parser.ListenAddress()),
+		Operators:          o.Text("operators", parser.ListenAddress()),
+		Fleet:              o.Text("fleet", parser.ListenAddress()),
+		Peers:              o.Texts("peers", 0, parser.PeerAddress()),
+		Platform:           o.Text("platform", parser.URL()),
+		Keys:               decodeKeys(o),
+		OperatorKeyDigests: decodeDigests(o, "operatorKeyDigests"),
+		LogLevel:           decodeLevel(o),
+		Routing: Routing(o.Choice("routing", string(RoutingBalanced),
+			string(RoutingBalanced), string(RoutingRoundRobin), string(RoutingLeastLoaded))),
+	}
+	e.Advertise = decodeAdvertise(o, e.Fleet)
+	if e.Callers != "" && e.Callers == e.Operators {
+		o.Report("operators", e.Operators, "callers listens on this address; use another port")
+	}
+	return e
+}
+
+func decodeAgent(o *parser.Object) Agent {
+	defer o.Close()
+	a := Agent{
+		Node:          identifier.Node(o.Text("node", parser.Name())),
+		FailureDomain: identifier.FailureDomain(o.Text("failureDomain", parser.Name())),
+		Upstream:      identifier.Upstream(o.Text("upstream", parser.Name())),
+		UpstreamURL:   o.Text("upstreamURL", parser.URL()),
+		UpstreamKind:  UpstreamKind(o.Choice("upstreamKind", "", string(UpstreamEngine), string(UpstreamService))),
+		Fleet:         o.Text("fleet", parser.ListenAddress()),
+		Peers:         o.Texts("peers", 1, parser.PeerAddress()),
+		Platform:      o.Text("platform", parser.URL()),
+		Keys:          decodeKeys(o),
+		LogLevel:      decodeLevel(o),
+		Metrics:       o.OptionalText("metrics", "", parser.ListenAddress()),
+	}
+	a.Advertise = decodeAdvertise(o, a.Fleet)
+	return a
+}
+
+func decodeKeys(o *parser.Object) Keys {
+	k := o.Object("keys")
+	if k == nil {
+		return Keys{}
+	}
+	defer k.Close()
+	return Keys{
+		Authority:   k.Text("authority", parser.NotEmpty()),
+		Certificate: k.Text("certificate", parser.NotEmpty()),
+		Key:         k.Text("key", parser.NotEmpty()),
+	}
+}
+
+func decodeDigests(o *parser.Object, field string) []identifier.Digest {
+	texts := o.Texts(field, 1, parser.Digest())
+	digests := make([]identifier.Digest, 0, len(texts))
+	for _, t := range texts {
+		digests = append(digests, identifier.Digest(t))
+	}
+	return digests
+}
+
+func decodeLevel(o *parser.Object) zerolog.Level {
+	text := o.Choice("logLevel", "info", "debug", "info", "warn", "error")
+	// Choice has already refused every text that ParseLevel does not know.
+	level, err := zerolog.ParseLevel(text)
+	if err != nil {
+		return zerolog.InfoLevel
+	}
+	return level
+}
+
+// decodeAdvertise defaults to the listen address, which peers can only use if it is a specific one.
+func decodeAdvertise(o *parser.Object, fleet string) string {
+	if o.Has("advertise") {
+		return o.Text("advertise", parser.PeerAddress())
+	}
+	if fleet != "" && parser.PeerAddress().Check(fleet) != "" {
+		o.Report("fleet", fleet, "peers cannot connect to this address; add advertise with the address that they can reach")
+	}
+	return fleet
+}
--- /dev/null
+++ b/internal/process/parser/problem.go
@@ -0,0 +1,67 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault in a text that an operator wrote. Value never holds a secret.
+type Problem struct {
+	File   string
+	Line   int
+	Column int
+	// Field is the path of the field, for example models[0].name. It is empty for a syntax error.
+	Field  string
+	Value  string
+	Remedy string
+}
+
+// String returns the problem on one line, position first.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:", p.File)
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:%d:", p.Line, p.Column)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.Field != "" {
+		fmt.Fprintf(&b, "field %s", p.Field)
+		if p.Value != "" {
+			fmt.Fprintf(&b, " has the value %s", p.Value)
+		}
+		b.WriteString(": ")
+	}
+	b.WriteString(p.Remedy)
+	return b.String()
+}
+
+// InvalidError lists every problem of a text.
+type InvalidError struct {
+	problems []Problem
+}
+
+// NewInvalidError returns an error that lists the problems, or nil if there are none.
+func NewInvalidError(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	return &InvalidError{problems: problems}
+}
+
+// Error returns all problems, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.problems))
+	for _, p := range e.problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Problems returns all problems in the order of their positions.
+func (e *InvalidError) Problems() []Problem {
+	return append([]Problem(nil), e.problems...)
+}
--- /dev/null
+++ b/internal/version/declarer/check.go
@@ -0,0 +1,140 @@
+package declarer
+
+import (
+	"fmt"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+// Fault is a problem between resources: Resource contradicts or lacks another one.
+type Fault struct {
+	Resource Resource
+	Field    string
+	Value    string
+	Remedy   string
+}
+
+// Problem returns the fault without a position.
+func (f Fault) Problem() Problem {
+	return Problem{Field: Key(f.Resource) + " " + f.Field, Value: f.Value, Remedy: f.Remedy}
+}
+
+type rankKey struct {
+	group identifier.ModelGroup
+	rank  identifier.Rank
+}
+
+// checker holds the resources that others refer to, and the first owner of each value that must be unique.
+type checker struct {
+	domains   map[identifier.FailureDomain]bool
+	groups    map[identifier.ModelGroup]ModelGroup
+	services  map[identifier.Service]bool
+	addresses map[string]identifier.Upstream
+	ranks     map[rankKey]identifier.Upstream
+	digests   map[identifier.Digest]identifier.Customer
+	faults    []Fault
+}
+
+// CheckSet returns the faults between the resources of a complete configuration.
+func CheckSet(resources []Resource) []Fault {
+	c := checker{
+		domains:   map[identifier.FailureDomain]bool{},
+		groups:    map[identifier.ModelGroup]ModelGroup{},
+		services:  map[identifier.Service]bool{},
+		addresses: map[string]identifier.Upstream{},
+		ranks:     map[rankKey]identifier.Upstream{},
+		digests:   map[identifier.Digest]identifier.Customer{},
+	}
+	for _, r := range resources {
+		c.learn(r)
+	}
+	for _, r := range resources {
+		c.check(r)
+	}
+	return c.faults
+}
+
+func (c *checker) learn(r Resource) {
+	switch r := r.(type) {
+	case FailureDomain:
+		c.domains[r.Name] = true
+	case ModelGroup:
+		c.groups[r.Name] = r
+	case Service:
+		c.services[r.Name] = true
+	}
+}
+
+func (c *checker) check(r Resource) {
+	switch r := r.(type) {
+	case ModelGroup:
+		c.checkModelGroup(r)
+	case Upstream:
+		c.checkUpstream(r)
+	case Customer:
+		c.checkCustomer(r)
+	}
+}
+
+func (c *checker) report(r Resource, field, value, remedy string) {
+	c.faults = append(c.faults, Fault{Resource: r, Field: field, Value: value, Remedy: remedy})
+}
+
+func (c *checker) checkModelGroup(g ModelGroup) {
+	for _, d := range g.FailureDomains {
+		if !c.domains[d] {
+			c.report(g, "failureDomains", string(d), "no failure domain has this name; declare it first or correct the name")
+		}
+	}
+}
+
+func (c *checker) checkUpstream(u Upstream) {
+	if !c.domains[u.FailureDomain] {
+		c.report(u, "failureDomain", string(u.FailureDomain), "no failure domain has this name; declare it first or correct the name")
+	}
+	if other, taken := c.addresses[u.Address]; taken {
+		c.report(u, "address", u.Address, fmt.Sprintf("upstream %s has this address; each agent needs its own", other))
+	} else {
+		c.addresses[u.Address] = u.Name
+	}
+	if u.Service != "" && !c.services[u.Service] {
+		c.report(u, "service", string(u.Service), "no service has this name; declare it first or correct the name")
+	}
+	if u.ModelGroup != "" {
+		c.checkRank(u)
+	}
+}
+
+// checkRank lets an upstream that is leaving share its rank with its replacement.
+func (c *checker) checkRank(u Upstream) {
+	group, known := c.groups[u.ModelGroup]
+	if !known {
+		c.report(u, "modelGroup", string(u.ModelGroup), "no model group has this name; declare it first or correct the name")
+		return
+	}
+	value := fmt.Sprint(int(u.Rank))
+	if int(u.Rank) >= group.Ranks {
+		c.report(u, "rank", value, fmt.Sprintf("the model group has the ranks 0 to %d; use one of them", group.Ranks-1))
+	}
+	if u.State == UpstreamLeaving {
+		return
+	}
+	key := rankKey{u.ModelGroup, u.Rank}
+	if other, taken := c.ranks[key]; taken {
+		c.report(u, "rank", value, fmt.Sprintf("upstream %s has this rank; use another or set that upstream to leaving first", other))
+		return
+	}
+	c.ranks[key] = u.Name
+}
+
+// checkCustomer refuses a key digest of two customers, which would give one the identity of the other.
+// Neither the digest nor the other customer's name is repeated.
+func (c *checker) checkCustomer(customer Customer) {
+	for i, d := range customer.KeyDigests {
+		if _, taken := c.digests[d]; taken {
+			c.report(customer, fmt.Sprintf("keyDigests[%d]", i), "", "another customer has this key; issue a new key")
+			continue
+		}
+		c.digests[d] = customer.Name
+	}
+}
