--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -269,13 +269,18 @@
 	return l.track(s), nil
 }
 
+// Beat sends a heartbeat at once, so that urgent news does not wait for the interval.
+func (l *Link) Beat() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (l *Link) track(s *quic.Stream) *Stream {
 	if l.busy.Add(1) == 1 {
 		l.busySince.Store(time.Now().UnixNano())
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.Beat()
 	}
 	return &Stream{link: l, stream: s}
 }
--- a/internal/request/translator/translator.go
+++ b/internal/request/translator/translator.go
@@ -16,6 +16,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/refuser"
 	"currantledge.example/currantledge/internal/request/streamer"
+	"currantledge.example/currantledge/internal/version/declarer"
 )
 
 const (
@@ -142,7 +143,7 @@
 }
 
 // ServiceCall returns the call for a plain service. The path is the part behind the service's name.
-func ServiceCall(id identifier.Request, customer identifier.Customer, service identifier.Service, path string, idempotentPaths []string, r *http.Request) (streamer.Call, error) {
+func ServiceCall(id identifier.Request, customer identifier.Customer, service declarer.Service, path string, r *http.Request) (streamer.Call, error) {
 	body, err := readBody(r.Body)
 	if err != nil {
 		return streamer.Call{}, err
@@ -154,10 +155,10 @@
 	key := identifier.Key(r.Header.Get(keyHeader))
 	c := streamer.Call{
 		Request: id, Customer: customer,
-		Target: messenger.Target{Kind: messenger.TargetService, Service: service},
+		Target: messenger.Target{Kind: messenger.TargetService, Service: service.Name},
 		Method: r.Method, Path: full, Headers: passedOn(r.Header), Body: body, Key: key,
-		Idempotent: idempotent(r.Method, path, idempotentPaths), Priority: PriorityShort,
-		Digest: salted(customer, "service", string(service), r.Method, full, string(body)),
+		Idempotent: idempotent(r.Method, path, service), Priority: PriorityShort,
+		Digest: salted(customer, "service", string(service.Name), r.Method, full, string(body)),
 	}
 	if key != "" {
 		c.Affinity = salted(customer, "key", string(key))
@@ -179,18 +180,13 @@
 }
 
 // idempotent tells whether a call may be repeated.
-func idempotent(method, path string, paths []string) bool {
+func idempotent(method, path string, service declarer.Service) bool {
 	switch method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+		return service.Idempotent(path)
 	default:
 		return true
 	}
-	for _, p := range paths {
-		if path == p || strings.HasPrefix(path, strings.TrimSuffix(p, "/")+"/") {
-			return true
-		}
-	}
-	return false
 }
 
 // salted returns a digest that cannot be compared between customers.
