Granter for credits, limits, slow start and fair sharing

Cause: an upstream must never receive more than it can handle, and customers must be served by share. Ruled out: keeping unused grants valid after the limit falls, which leaves up to 1 s of load above the cold limit; charging service when a credit is granted, which needs refunds for every expired or returned credit; serving a returning customer until it has caught up, which starves the others for several seconds. Change: a state machine without I/O that issues, expires, revokes and admits credits, computes the limit from completions since the upstream was cold, and chooses the next customer by decayed service over share and the next entry by turns. Spare credits become standing credits that are revoked when anybody waits.

--- /dev/null
+++ b/internal/connection/granter/granter_test.go
@@ -0,0 +1,418 @@
+package granter_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantledge.example/currantledge/internal/connection/granter"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+const incarnation = identifier.Incarnation(7)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestMain fixes the seed of the generated sequences; a flag on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+func newWarm(t *testing.T, limit identifier.Credits) *granter.Granter {
+	t.Helper()
+	return granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: limit, Warm: limit}})
+}
+
+func waiting(c identifier.Customer, n int) []messenger.CustomerDemand {
+	return []messenger.CustomerDemand{{Customer: c, Waiting: n}}
+}
+
+func admission(i granter.Issue, request byte) granter.Admission {
+	return granter.Admission{
+		Request:     identifier.Request{request},
+		Customer:    i.Grant.Customer,
+		Incarnation: i.Grant.Incarnation,
+		Serial:      i.Grant.Serial,
+	}
+}
+
+// Guards against a dispatch that starts without a valid credit of its own entry, customer and incarnation.
+func TestAdmitRefusesInvalidCredits(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name   string
+		entry  identifier.Node
+		after  time.Duration
+		change func(*granter.Admission)
+		want   messenger.Reason
+	}{
+		{name: "valid", entry: "e1", change: func(*granter.Admission) {}, want: ""},
+		{name: "incarnation", entry: "e1", change: func(a *granter.Admission) { a.Incarnation-- }, want: messenger.ReasonOldIncarnation},
+		{name: "serial", entry: "e1", change: func(a *granter.Admission) { a.Serial++ }, want: messenger.ReasonNoCredit},
+		{name: "customer", entry: "e1", change: func(a *granter.Admission) { a.Customer = "other" }, want: messenger.ReasonNoCredit},
+		{name: "entry", entry: "e2", change: func(*granter.Admission) {}, want: messenger.ReasonNoCredit},
+		{name: "expired", entry: "e1", after: time.Second, change: func(*granter.Admission) {}, want: messenger.ReasonNoCredit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := newWarm(t, 1)
+			issues := g.Demand(start, "e1", waiting("c", 1))
+			require.Len(t, issues, 1)
+			a := admission(issues[0], 1)
+			c.change(&a)
+			require.Equal(t, c.want, g.Admit(start.Add(c.after), c.entry, a))
+			if c.want == "" {
+				require.Equal(t, messenger.ReasonOverloaded, g.Admit(start, c.entry, a), "the request runs already")
+				a.Request = identifier.Request{2}
+				require.Equal(t, messenger.ReasonNoCredit, g.Admit(start, c.entry, a), "a used credit is valid again")
+			}
+		})
+	}
+}
+
+// Guards against a limit that exceeds the cold limit before completions, or that does not fall when the upstream cools.
+func TestSlowStartAndCooling(t *testing.T) {
+	t.Parallel()
+	g := granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: 2, Warm: 10, WarmAfter: 4}})
+	now := start
+	complete := func() {
+		issues := g.Demand(now, "e", waiting("c", 1))
+		require.NotEmpty(t, issues)
+		require.Empty(t, g.Admit(now, "e", admission(issues[0], 1)))
+		g.Demand(now, "e", waiting("c", 0))
+		g.FirstToken(now, identifier.Request{1}, 10*time.Millisecond)
+		g.Finish(now, identifier.Request{1}, true)
+	}
+	for _, want := range []identifier.Credits{2, 4, 6, 8, 10, 10, 10, 10, 10} {
+		require.Equal(t, want, g.Load().Limit)
+		complete()
+		now = now.Add(10 * time.Second)
+	}
+	issues := g.Demand(now, "e", waiting("c", 10))
+	for i := range issues[0].Grant.Credits {
+		require.Empty(t, g.Admit(now, "e", admission(issues[0], byte(2+i))))
+	}
+	g.Demand(now, "e", waiting("c", 0))
+	g.FirstToken(now, identifier.Request{2}, 60*time.Millisecond)
+	require.Equal(t, identifier.Credits(10), g.Load().Limit, "slow first token at the limit")
+	for i := range issues[0].Grant.Credits - 1 {
+		g.Finish(now, identifier.Request{byte(3 + i)}, false)
+	}
+	g.FirstToken(now, identifier.Request{2}, 60*time.Millisecond)
+	require.Equal(t, identifier.Credits(2), g.Load().Limit, "slow first token with spare credits")
+	require.Equal(t, "time to first token rose", g.ColdReason())
+	g.Finish(now, identifier.Request{2}, true)
+	require.Equal(t, identifier.Credits(4), g.Load().Limit)
+	g.Tick(now.Add(30 * time.Second))
+	require.Equal(t, identifier.Credits(2), g.Load().Limit, "idle")
+}
+
+// Guards against load above the cold limit from grants that were issued before the upstream cooled.
+func TestCoolRevokesCreditsAboveLimit(t *testing.T) {
+	t.Parallel()
+	g := granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: 1, Warm: 4}})
+	issues := g.Demand(start, "e", waiting("c", 4))
+	require.Equal(t, identifier.Credits(4), issues[0].Grant.Credits)
+	require.Empty(t, g.Admit(start, "e", admission(issues[0], 1)))
+	g.Configure(start, granter.Limits{Cold: 1, Warm: 4, WarmAfter: 100})
+	require.Equal(t, messenger.ReasonNoCredit, g.Admit(start, "e", admission(issues[0], 2)))
+	g.Drain(true)
+	require.Equal(t, messenger.ReasonDraining, g.Admit(start, "e", admission(issues[0], 2)))
+	require.Empty(t, g.Finish(start, identifier.Request{1}, true))
+	g.Drain(false)
+	require.NotEmpty(t, g.Tick(start))
+}
+
+// Guards against credits that stay with an entry whose link is lost.
+func TestForgetReturnsCredits(t *testing.T) {
+	t.Parallel()
+	g := newWarm(t, 2)
+	held := g.Demand(start, "e1", waiting("c", 2))
+	require.Len(t, held, 1)
+	require.Empty(t, g.Demand(start, "e2", waiting("d", 2)))
+	issues := g.Forget(start, "e1")
+	require.Len(t, issues, 1)
+	require.Equal(t, identifier.Node("e2"), issues[0].Entry)
+	require.Equal(t, identifier.Credits(2), issues[0].Grant.Credits)
+	require.Equal(t, messenger.ReasonNoCredit, g.Admit(start, "e1", admission(held[0], 1)))
+}
+
+// Guards against standing credits that delay a customer that waits.
+func TestStandingCreditsYieldToDemand(t *testing.T) {
+	t.Parallel()
+	g := newWarm(t, 2)
+	first := g.Demand(start, "e1", waiting("c", 1))
+	require.Empty(t, g.Admit(start, "e1", admission(first[0], 1)))
+	g.Demand(start, "e1", waiting("c", 0))
+	standing := g.Finish(start, identifier.Request{1}, true)
+	require.Len(t, standing, 0, "the standing credit was issued with the report of no demand")
+	require.Equal(t, identifier.Credits(1), g.Load().Granted)
+	issues := g.Demand(start, "e2", waiting("d", 2))
+	require.Len(t, issues, 1)
+	require.Equal(t, identifier.Credits(2), issues[0].Grant.Credits)
+}
+
+// Guards against one customer that receives all credits that become free together.
+func TestCreditsOfOneRoundAreSpread(t *testing.T) {
+	t.Parallel()
+	g := newWarm(t, 4)
+	g.Demand(start, "e0", waiting("x", 4))
+	require.Empty(t, g.Demand(start, "e1", waiting("c", 4)))
+	require.Empty(t, g.Demand(start, "e1", waiting("d", 4)))
+	issues := g.Forget(start, "e0")
+	require.Len(t, issues, 2)
+	require.Equal(t, issues[0].Grant.Credits, issues[1].Grant.Credits)
+}
+
+// Guards against a request that gets no credit because its agent already counts it as dispatched.
+func TestDemandSettles(t *testing.T) {
+	t.Parallel()
+	g := newWarm(t, 4)
+	issues := g.Demand(start, "e", waiting("c", 2))
+	require.Empty(t, g.Admit(start, "e", admission(issues[0], 1)))
+	require.Empty(t, g.Tick(start), "the admitted request is granted a second credit")
+	again := g.Tick(start.Add(50 * time.Millisecond))
+	require.Len(t, again, 1)
+	require.Equal(t, identifier.Credits(1), again[0].Grant.Credits)
+}
+
+// Guards against an entry that receives nothing while another entry of the same customer is served.
+func TestEntriesTakeTurns(t *testing.T) {
+	t.Parallel()
+	g := newWarm(t, 1)
+	g.Demand(start, "e0", waiting("x", 1))
+	for _, e := range []identifier.Node{"e1", "e2", "e3"} {
+		require.Empty(t, g.Demand(start, e, waiting("c", 100)))
+	}
+	turns := map[identifier.Node]int{}
+	issues := g.Forget(start, "e0")
+	for i := range 30 {
+		require.Len(t, issues, 1)
+		turns[issues[0].Entry]++
+		require.Empty(t, g.Admit(start, issues[0].Entry, admission(issues[0], byte(i))))
+		issues = g.Finish(start, identifier.Request{byte(i)}, true)
+	}
+	require.Equal(t, map[identifier.Node]int{"e1": 10, "e2": 10, "e3": 10}, turns)
+}
+
+// contention serves requests with a fixed time between completions. Each customer keeps its backlog waiting from the
+// time given by joins. It returns the admissions of each customer from the given time on.
+func contention(shares []float64, backlog func(int) int, joins func(int) time.Duration, length, from time.Duration) []float64 {
+	names := map[identifier.Customer]int{}
+	for i := range shares {
+		names[identifier.Customer(fmt.Sprint("c", i))] = i
+	}
+	g := granter.New(granter.Config{
+		Incarnation: incarnation, Limits: granter.Limits{Cold: 8, Warm: 8},
+		Share: func(c identifier.Customer) identifier.Share { return identifier.Share(shares[names[c]]) },
+	})
+	served := make([]float64, len(shares))
+	var running []identifier.Request
+	var serial uint16
+	admit := func(now time.Time, issues []granter.Issue) {
+		for _, i := range issues {
+			for range i.Grant.Credits {
+				serial++
+				request := identifier.Request{byte(serial), byte(serial >> 8)}
+				d := granter.Admission{Request: request, Customer: i.Grant.Customer, Incarnation: incarnation, Serial: i.Grant.Serial}
+				if g.Admit(now, i.Entry, d) != "" {
+					continue
+				}
+				running = append(running, request)
+				if now.Sub(start) >= from {
+					served[names[i.Grant.Customer]]++
+				}
+			}
+		}
+	}
+	for elapsed := time.Duration(0); elapsed < length; elapsed += 10 * time.Millisecond {
+		now := start.Add(elapsed)
+		for name, i := range names {
+			if elapsed >= joins(i) {
+				admit(now, g.Demand(now, identifier.Node(fmt.Sprint("e", i%3)), waiting(name, backlog(i))))
+			}
+		}
+		if len(running) > 0 {
+			first := running[0]
+			running = running[1:]
+			admit(now, g.Finish(now, first, true))
+		}
+	}
+	return served
+}
+
+func jain(values []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, v := range values {
+		sum += v
+		squares += v * v
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
+
+// Guards against a customer with 20 times its share that takes service from the others.
+func TestServiceFollowsShares(t *testing.T) {
+	t.Parallel()
+	shares := []float64{1, 1, 2, 3, 1, 5, 1, 0.5, 8, 2}
+	served := contention(shares, func(i int) int {
+		if i == 0 {
+			return 160
+		}
+		return 8
+	}, func(int) time.Duration { return 0 }, 40*time.Second, 0)
+	for i := range served {
+		served[i] /= shares[i]
+	}
+	require.GreaterOrEqual(t, jain(served), 0.98, "share-weighted service %v", served)
+}
+
+// Guards against a customer that returns with many requests and takes all credits until it has caught up.
+func TestReturningCustomerDoesNotCatchUp(t *testing.T) {
+	t.Parallel()
+	served := contention([]float64{1, 1, 1, 1}, func(i int) int { return 8 + 100*(i/3) }, func(i int) time.Duration {
+		return time.Duration(i/3) * 20 * time.Second
+	}, 22*time.Second, 20*time.Second)
+	require.GreaterOrEqual(t, jain(served), 0.98, "service after the return %v", served)
+}
+
+type modelGrant struct {
+	issue   granter.Issue
+	left    identifier.Credits
+	expires time.Time
+}
+
+// Guards against any order of events that breaks the limit, admits without a credit, or leaves credits unused while
+// requests wait.
+func TestInvariantsOverSequences(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		g := granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: 2, Warm: 6, WarmAfter: 5}})
+		now := start
+		var grants []*modelGrant
+		running := map[identifier.Request]bool{}
+		var order []identifier.Request
+		var next byte
+		draining := false
+		entry := rapid.SampledFrom([]identifier.Node{"e1", "e2", "e3"})
+		customer := rapid.SampledFrom([]identifier.Customer{"a", "b", "c"})
+		keep := func(issues []granter.Issue) {
+			for _, i := range issues {
+				require.Positive(t, i.Grant.Credits)
+				require.Equal(t, incarnation, i.Grant.Incarnation)
+				grants = append(grants, &modelGrant{issue: i, left: i.Grant.Credits, expires: now.Add(i.Grant.Lifetime)})
+			}
+			l := g.Load()
+			if l.Waiting > 0 && !draining {
+				require.GreaterOrEqual(t, l.Granted+l.Running, l.Limit, "free credits while requests wait")
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"demand": func(t *rapid.T) {
+				e, c, n := entry.Draw(t, "entry"), customer.Draw(t, "customer"), rapid.IntRange(0, 9).Draw(t, "waiting")
+				issues := g.Demand(now, e, waiting(c, n))
+				for _, i := range issues {
+					if i.Entry == e && i.Grant.Customer == c && n > 0 {
+						require.LessOrEqual(t, int(i.Grant.Credits), n, "more credits than demand")
+					}
+				}
+				keep(issues)
+			},
+			"admit": func(t *rapid.T) {
+				if len(grants) == 0 {
+					return
+				}
+				m := grants[rapid.IntRange(0, len(grants)-1).Draw(t, "grant")]
+				next++
+				d := admission(m.issue, next)
+				d.Incarnation -= identifier.Incarnation(rapid.IntRange(0, 3).Draw(t, "older") / 3)
+				e := entry.Draw(t, "entry")
+				if rapid.Bool().Draw(t, "own entry") {
+					e = m.issue.Entry
+				}
+				reason := g.Admit(now, e, d)
+				if reason != "" || running[d.Request] {
+					require.False(t, reason == "" && running[d.Request], "a running request is admitted again")
+					return
+				}
+				require.Equal(t, incarnation, d.Incarnation)
+				require.Equal(t, m.issue.Entry, e)
+				require.Positive(t, m.left)
+				require.True(t, now.Before(m.expires))
+				require.False(t, draining)
+				m.left--
+				running[d.Request] = true
+				order = append(order, d.Request)
+			},
+			"finish": func(t *rapid.T) {
+				if len(order) == 0 {
+					return
+				}
+				request := order[0]
+				order = order[1:]
+				delete(running, request)
+				keep(g.Finish(now, request, rapid.Bool().Draw(t, "succeeded")))
+			},
+			"first token": func(t *rapid.T) {
+				if len(order) > 0 {
+					g.FirstToken(now, order[0], time.Duration(rapid.IntRange(1, 300).Draw(t, "ms"))*time.Millisecond)
+				}
+			},
+			"return": func(t *rapid.T) {
+				if len(grants) == 0 {
+					return
+				}
+				m := grants[rapid.IntRange(0, len(grants)-1).Draw(t, "grant")]
+				n := identifier.Credits(rapid.IntRange(0, 9).Draw(t, "credits"))
+				m.left = max(0, m.left-n)
+				keep(g.Return(now, m.issue.Entry, messenger.ReturnGrant{Serial: m.issue.Grant.Serial, Credits: n}))
+			},
+			"forget": func(t *rapid.T) {
+				e := entry.Draw(t, "entry")
+				for _, m := range grants {
+					if m.issue.Entry == e {
+						m.left = 0
+					}
+				}
+				keep(g.Forget(now, e))
+			},
+			"cool":  func(*rapid.T) { g.Cool(now, "test") },
+			"drain": func(t *rapid.T) { draining = rapid.Bool().Draw(t, "draining"); g.Drain(draining) },
+			"configure": func(t *rapid.T) {
+				keep(g.Configure(now, granter.Limits{
+					Cold:      identifier.Credits(rapid.IntRange(0, 4).Draw(t, "cold")),
+					Warm:      identifier.Credits(rapid.IntRange(0, 9).Draw(t, "warm")),
+					WarmAfter: rapid.IntRange(0, 6).Draw(t, "after"),
+				}))
+			},
+			"tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 60, 400, 1000, 31_000}).Draw(t, "ms")) * time.Millisecond)
+				keep(g.Tick(now))
+			},
+			"": func(t *rapid.T) {
+				l := g.Load()
+				require.Equal(t, identifier.Credits(len(running)), l.Running)
+				require.GreaterOrEqual(t, l.Granted, identifier.Credits(0))
+				var left identifier.Credits
+				for _, m := range grants {
+					left += m.left
+				}
+				require.LessOrEqual(t, l.Granted, left)
+				if l.Running > l.Limit || draining {
+					require.Zero(t, l.Granted)
+					return
+				}
+				require.LessOrEqual(t, l.Granted+l.Running, l.Limit)
+				require.LessOrEqual(t, l.Limit, max(l.WarmLimit, 0))
+			},
+		})
+	})
+}
