--- a/internal/connection/granter/granter_test.go
+++ b/internal/connection/granter/granter_test.go
@@ -1,6 +1,7 @@
 package granter_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"testing"
@@ -18,9 +19,9 @@
 
 var start = time.Unix(1_000_000, 0)
 
-// TestMain fixes the seed of the generated sequences; a flag on the command line overrides it.
+// TestMain fixes the seed of the generated sequences, so that each run tests the same ones.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+	if err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
 		panic(err)
 	}
 	m.Run()
@@ -64,8 +65,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			g := newWarm(t, 1)
-			issues := g.Demand(start, "e1", waiting("c", 1))
+			g := newWarm(t, 2)
+			issues := g.Demand(start, "e1", waiting("c", 2))
 			require.Len(t, issues, 1)
 			a := admission(issues[0], 1)
 			c.change(&a)
@@ -73,6 +74,8 @@
 			if c.want == "" {
 				require.Equal(t, messenger.ReasonOverloaded, g.Admit(start, c.entry, a), "the request runs already")
 				a.Request = identifier.Request{2}
+				require.Empty(t, g.Admit(start, c.entry, a))
+				a.Request = identifier.Request{3}
 				require.Equal(t, messenger.ReasonNoCredit, g.Admit(start, c.entry, a), "a used credit is valid again")
 			}
 		})
@@ -107,7 +110,7 @@
 	for i := range issues[0].Grant.Credits - 1 {
 		g.Finish(now, identifier.Request{byte(3 + i)}, false)
 	}
-	g.FirstToken(now, identifier.Request{2}, 60*time.Millisecond)
+	g.FirstToken(now, identifier.Request{2}, 90*time.Millisecond)
 	require.Equal(t, identifier.Credits(2), g.Load().Limit, "slow first token with spare credits")
 	require.Equal(t, "time to first token rose", g.ColdReason())
 	g.Finish(now, identifier.Request{2}, true)
