Mark standing credits in grants

Cause: an entry returned credits for which no request waits at once, and the granter issues standing credits again, so the two would exchange messages without end. Ruled out: no standing credits at all, which costs a round trip for each request. Change: grants carry a standing mark; entries keep such credits until they expire and report 0 for customers that no longer wait. Before and after: package tests pass before and after; the exchange was found by reading, not by a run. Conclusion: standing credits can be used by the entry.

--- a/internal/connection/encoder/control.go
+++ b/internal/connection/encoder/control.go
@@ -88,6 +88,7 @@
 	Customer    string `cbor:"customer,omitempty"`
 	Credits     int    `cbor:"credits,omitempty"`
 	Lifetime    int64  `cbor:"lifetime,omitempty"`
+	Standing    bool   `cbor:"standing,omitempty"`
 }
 
 func encodeGrant(m messenger.Grant) wireGrant {
@@ -97,6 +98,7 @@
 		Customer:    string(m.Customer),
 		Credits:     int(m.Credits),
 		Lifetime:    int64(m.Lifetime),
+		Standing:    m.Standing,
 	}
 }
 
@@ -107,6 +109,7 @@
 		Customer:    identifier.Customer(w.Customer),
 		Credits:     identifier.Credits(w.Credits),
 		Lifetime:    time.Duration(w.Lifetime),
+		Standing:    w.Standing,
 	}
 }
 
--- a/internal/connection/encoder/encoder_test.go
+++ b/internal/connection/encoder/encoder_test.go
@@ -24,7 +24,7 @@
 			Suspicions: []messenger.Suspicion{{Digest: "d", Crashes: 2, Age: time.Minute}},
 		},
 		messenger.Demand{Customers: []messenger.CustomerDemand{{Customer: "c", Waiting: 2}}},
-		messenger.Grant{Incarnation: 1, Serial: 2, Customer: "c", Credits: 3, Lifetime: time.Second},
+		messenger.Grant{Incarnation: 1, Serial: 2, Customer: "c", Credits: 3, Lifetime: time.Second, Standing: true},
 		messenger.Changes{Revision: 3, Full: true, Changes: []messenger.Change{{Revision: 3, Kind: "k", Name: "n", Value: []byte("{}")}}},
 		messenger.Gossip{Revision: 1, Nodes: []messenger.NodeSummary{{Node: "n", Age: time.Second}}},
 		messenger.Dispatch{
--- a/internal/connection/granter/granter.go
+++ b/internal/connection/granter/granter.go
@@ -293,6 +293,7 @@
 		Customer:    held.customer,
 		Credits:     credits,
 		Lifetime:    g.lifetime,
+		Standing:    standing,
 	}}
 }
 
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -126,6 +126,8 @@
 		Customer    identifier.Customer
 		Credits     identifier.Credits
 		Lifetime    time.Duration
+		// Standing marks credits that are given without demand. The agent may revoke them at any time.
+		Standing bool
 	}
 	// ReturnGrant gives unused credits back.
 	ReturnGrant struct {
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -118,13 +118,14 @@
 	return q.match(now)
 }
 
-// Surplus takes back the credits for which no request waits and returns them.
+// Surplus takes back the credits that were granted for requests which no longer wait, and returns them. Standing
+// credits are kept until they expire.
 func (q *Queuer) Surplus() []Returned {
 	var out []Returned
 	for upstream, credits := range q.credits {
 		var kept []*credit
 		for _, c := range credits {
-			if q.wanted(upstream, c.grant.Customer) {
+			if c.grant.Standing || q.wanted(upstream, c.grant.Customer) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -510,8 +510,8 @@
 	now := time.Now()
 	demand := d.queue.DemandOn(now, upstream)
 	if !sameDemand(demand, s.last) || (len(demand) > 0 && now.Sub(s.sentAt) > repeatDemand) {
+		out = append(out, messenger.Demand{Customers: withZeros(demand, s.last)})
 		s.last, s.sentAt = demand, now
-		out = append(out, messenger.Demand{Customers: demand})
 	}
 	for _, r := range d.queue.Surplus() {
 		if other, ok := d.senders[r.Upstream]; ok {
@@ -525,6 +525,21 @@
 	return out
 }
 
+// withZeros adds the customers that no longer wait, since an agent keeps the number of those that are not listed.
+func withZeros(demand, last []messenger.CustomerDemand) []messenger.CustomerDemand {
+	listed := make(map[identifier.Customer]bool, len(demand))
+	for _, c := range demand {
+		listed[c.Customer] = true
+	}
+	out := append([]messenger.CustomerDemand(nil), demand...)
+	for _, c := range last {
+		if !listed[c.Customer] {
+			out = append(out, messenger.CustomerDemand{Customer: c.Customer})
+		}
+	}
+	return out
+}
+
 func sameDemand(a, b []messenger.CustomerDemand) bool {
 	if len(a) != len(b) {
 		return false
