--- /dev/null
+++ b/internal/process/adapter/adapter.go
@@ -0,0 +1,53 @@
+// Package adapter fits the platform's client to the table interfaces of the packages that use it.
+package adapter
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/connection/storer"
+	"currantledge.example/currantledge/internal/version/configurer"
+)
+
+// Configuration returns the table as the configuration's writer uses it.
+func Configuration(client *storer.Client) configurer.Table {
+	return configurer.Functions{
+		TransactFunc: func(ctx context.Context, conditions []configurer.Condition, writes []configurer.Write) (map[string]uint64, error) {
+			versions, err := client.Transact(ctx, convert(conditions, toCondition), convert(writes, toWrite))
+			return versions, configurationError(err)
+		},
+		GetFunc: func(ctx context.Context, keys ...string) ([]configurer.Row, error) {
+			rows, err := client.Get(ctx, keys...)
+			return convert(rows, fromRow), configurationError(err)
+		},
+		ScanFunc: func(ctx context.Context, prefix, after string, limit int) ([]configurer.Row, error) {
+			rows, err := client.Scan(ctx, prefix, after, limit)
+			return convert(rows, fromRow), configurationError(err)
+		},
+	}
+}
+
+func configurationError(err error) error {
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		return &configurer.RowConflictError{Rows: convert(conflict.Rows, fromRow)}
+	}
+	var unavailable *storer.UnavailableError
+	if errors.As(err, &unavailable) {
+		return &configurer.UnavailableError{MayHaveApplied: unavailable.MayHaveApplied, Cause: unavailable.Cause}
+	}
+	return err
+}
+
+func toCondition(c configurer.Condition) storer.Condition { return storer.Condition(c) }
+func toWrite(w configurer.Write) storer.Write             { return storer.Write(w) }
+func fromRow(r storer.Row) configurer.Row                 { return configurer.Row(r) }
+
+func convert[F, T any](from []F, one func(F) T) []T {
+	out := make([]T, len(from))
+	for i, f := range from {
+		out[i] = one(f)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/entryrunner/configuration.go
@@ -0,0 +1,139 @@
+package entryrunner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/registrar"
+	"currantledge.example/currantledge/internal/request/router"
+	"currantledge.example/currantledge/internal/version/declarer"
+)
+
+const (
+	platformTimeout = 2 * time.Second
+	// pollRate is the number of reads a second of config/head that the whole fleet makes.
+	pollRate     = 4
+	pollMinimum  = 500 * time.Millisecond
+	listInterval = 2 * time.Second
+)
+
+// pollConfiguration reads the newest revision from the table until ctx ends. Its interval grows with the number of
+// entries, so that the table sees a constant rate of reads.
+func (e *Entry) pollConfiguration(ctx context.Context) error {
+	for {
+		if err := e.refreshConfiguration(ctx); err != nil {
+			e.log.Event(logger.EventPlatformFailed).Str("operation", "loadConfiguration").AnErr("cause", err).Send()
+		}
+		if !wait(ctx, e.pollInterval()) {
+			return nil
+		}
+	}
+}
+
+func (e *Entry) refreshConfiguration(ctx context.Context) error {
+	head, err := e.writer.Head(ctx)
+	if err != nil {
+		return err
+	}
+	own := e.store.Revision()
+	if head <= own {
+		return nil
+	}
+	changes, err := e.writer.Load(ctx, own)
+	if err != nil {
+		return err
+	}
+	e.distributor.Adopt(changes)
+	return nil
+}
+
+func (e *Entry) pollInterval() time.Duration {
+	entries := 0
+	for _, n := range e.nodes.Nodes(time.Now()) {
+		if n.Role == identifier.RoleEntry && n.State == registrar.StateLive {
+			entries++
+		}
+	}
+	interval := max(time.Duration(entries)*time.Second/pollRate, pollMinimum)
+	return interval/2 + rand.N(interval)
+}
+
+// adopted is called when a higher revision is in force.
+func (e *Entry) adopted() {
+	e.peers.refresh()
+	for _, m := range e.pool.Members() {
+		m.Link.Beat()
+	}
+}
+
+// pollMachines reads the platform's list of VMs until ctx ends.
+func (e *Entry) pollMachines(ctx context.Context) error {
+	for {
+		vms, _, err := e.platform.VMs(ctx)
+		if err == nil {
+			listed := make([]registrar.Listed, len(vms))
+			for i, vm := range vms {
+				listed[i] = registrar.Listed{Node: vm.Name, Leaving: vm.Leaving}
+			}
+			e.nodes.List(listed)
+		} else {
+			e.log.Event(logger.EventPlatformFailed).Str("operation", "listVMs").AnErr("cause", err).Send()
+		}
+		if !wait(ctx, listInterval) {
+			return nil
+		}
+	}
+}
+
+// candidates returns the linked upstreams that serve a target and are in force.
+func (e *Entry) candidates(target messenger.Target) []router.Candidate {
+	snapshot := e.store.Snapshot()
+	var out []router.Candidate
+	for name, m := range e.pool.Members() {
+		u, ok := snapshot.Upstreams[name]
+		if !ok || !serves(snapshot.ModelGroups, u, target) || u.State == declarer.UpstreamLeaving {
+			continue
+		}
+		if snapshot.FailureDomains[u.FailureDomain].State == declarer.DomainOut || e.nodes.Leaving(m.Link.Peer().Node) {
+			continue
+		}
+		out = append(out, router.Candidate{
+			Upstream: name, Local: u.FailureDomain == e.settings.FailureDomain,
+			Used: m.Load.Running + m.Load.Granted, Limit: m.Load.Limit, Suspect: !m.Load.Ready || m.Load.Draining,
+		})
+	}
+	return out
+}
+
+func serves(groups map[identifier.ModelGroup]declarer.ModelGroup, u declarer.Upstream, target messenger.Target) bool {
+	if target.Kind == messenger.TargetService {
+		return u.Service == target.Service && target.Service != ""
+	}
+	for _, m := range groups[u.ModelGroup].Models {
+		if m.Name == target.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// declared tells whether operators have declared a target.
+func (e *Entry) declared(target messenger.Target) bool {
+	snapshot := e.store.Snapshot()
+	if target.Kind == messenger.TargetService {
+		_, ok := snapshot.Services[target.Service]
+		return ok
+	}
+	for _, g := range snapshot.ModelGroups {
+		for _, m := range g.Models {
+			if m.Name == target.Model {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/entryrunner/entryrunner.go
@@ -0,0 +1,220 @@
+// Package entryrunner wires the parts of an entry together and runs them as one group.
+package entryrunner
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/connection/authenticator"
+	"currantledge.example/currantledge/internal/connection/dialer"
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/connection/listener"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/connection/pooler"
+	"currantledge.example/currantledge/internal/connection/storer"
+	"currantledge.example/currantledge/internal/process/adapter"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/loader"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/registrar"
+	"currantledge.example/currantledge/internal/process/supervisor"
+	"currantledge.example/currantledge/internal/request/quarantiner"
+	"currantledge.example/currantledge/internal/request/router"
+	"currantledge.example/currantledge/internal/request/streamer"
+	"currantledge.example/currantledge/internal/version/configurer"
+	"currantledge.example/currantledge/internal/version/distributor"
+)
+
+const (
+	// announceStop is how long the listeners stay open after /readyz fails, so that the platform's balancer takes
+	// the entry out first.
+	announceStop  = 2 * time.Second
+	drainInterval = 50 * time.Millisecond
+	headerTimeout = 10 * time.Second
+)
+
+// Config holds what an entry is built from.
+type Config struct {
+	Settings loader.Entry
+	Output   io.Writer
+}
+
+// Entry is a running entry.
+type Entry struct {
+	settings    loader.Entry
+	log         *logger.Logger
+	incarnation identifier.Incarnation
+	store       *configurer.Store
+	writer      *configurer.Writer
+	platform    *storer.Client
+	distributor *distributor.Distributor
+	nodes       *registrar.Registrar
+	pool        *pooler.Pool
+	dispatcher  *streamer.Dispatcher
+	suspects    *suspects
+	peers       *peers
+	agents      *dialer.Dialer
+	entries     *dialer.Dialer
+	stopping    atomic.Bool
+	http        http.Handler
+}
+
+// Run runs an entry until ctx ends, then stops it gracefully.
+func Run(ctx context.Context, cfg Config) error {
+	e, err := New(cfg)
+	if err != nil {
+		return err
+	}
+	return e.run(ctx)
+}
+
+// New builds an entry. Nothing is opened yet.
+func New(cfg Config) (*Entry, error) {
+	s := cfg.Settings
+	credentials, err := authenticator.Load(authenticator.Paths(s.Keys))
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings: s,
+		log: logger.New(logger.Config{
+			Output: cfg.Output, Level: s.LogLevel, Node: s.Node, FailureDomain: s.FailureDomain,
+		}),
+		incarnation: identifier.NewIncarnation(time.Now()),
+		store:       configurer.New(),
+		platform:    storer.New(storer.Config{BaseURL: s.Platform, Timeout: platformTimeout}),
+		nodes:       registrar.New(),
+		pool:        pooler.New(),
+		peers:       newPeers(),
+	}
+	e.suspects = newSuspects(quarantiner.New(quarantiner.Config{}), e.spreadSuspicions)
+	e.writer = configurer.NewWriter(configurer.WriterConfig{Table: adapter.Configuration(e.platform), Store: e.store})
+	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log, Adopted: e.adopted})
+	e.dispatcher = streamer.New(streamer.Config{
+		Pool: e.pool, Log: e.log, Candidates: e.candidates, Suspect: e.suspects.crashes, Crashed: e.suspects.crashed,
+		Policy: policy(s.Routing),
+	})
+	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat}
+	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveAgent})
+	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveEntry})
+	e.http, err = newCallers(e)
+	return e, err
+}
+
+func policy(name loader.Routing) router.Policy {
+	switch name {
+	case loader.RoutingRoundRobin:
+		return router.RoundRobin{}
+	case loader.RoutingLeastLoaded:
+		return router.LeastLoaded{}
+	default:
+		return router.Balanced{}
+	}
+}
+
+func (e *Entry) run(ctx context.Context) error {
+	// Parts outlive the signal to stop until open requests have finished.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	credentials, err := authenticator.Load(authenticator.Paths(e.settings.Keys))
+	if err != nil {
+		return err
+	}
+	fleet, err := listener.New(listener.Config{
+		Address: e.settings.Fleet, Log: e.log, Serve: e.serveAccepted,
+		Link: linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat},
+	})
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", e.settings.Callers)
+	if err != nil {
+		return errors.Wrapf(err, "listen for callers on %s; choose a free address", e.settings.Callers)
+	}
+	operators, err := net.Listen("tcp", e.settings.Operators)
+	if err != nil {
+		return errors.Wrapf(err, "listen for operators on %s; choose a free address", e.settings.Operators)
+	}
+	operatorAPI, err := e.newOperators()
+	if err != nil {
+		return err
+	}
+	group := supervisor.New(partsCtx)
+	group.Add(fleet.Run)
+	group.Add(e.dispatcher.Run)
+	group.Add(e.dial)
+	group.Add(e.pollConfiguration)
+	group.Add(e.pollMachines)
+	group.Add(e.gossip)
+	group.Add(serveHTTP(callers, e.http))
+	group.Add(serveHTTP(operators, operatorAPI))
+	group.Add(func(partCtx context.Context) error { return e.awaitStop(ctx, partCtx) })
+	e.log.Event(logger.EventStarted).Str("callers", e.settings.Callers).Str("fleet", e.settings.Fleet).Send()
+	err = group.Run()
+	e.agents.Wait()
+	e.entries.Wait()
+	e.log.Event(logger.EventStopped).Send()
+	return err
+}
+
+// serveHTTP serves until its context ends, then waits for open requests.
+func serveHTTP(l net.Listener, handler http.Handler) supervisor.Actor {
+	return func(ctx context.Context) error {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve HTTP")
+		}
+		return nil
+	}
+}
+
+// awaitStop returns once a stop was asked for, the announcement has passed and no request is open.
+func (e *Entry) awaitStop(ctx, partCtx context.Context) error {
+	select {
+	case <-partCtx.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	e.stopping.Store(true)
+	e.log.Event(logger.EventStopping).Int("open", e.dispatcher.Open()).Send()
+	if !wait(partCtx, announceStop) {
+		return nil
+	}
+	for e.dispatcher.Open() > 0 {
+		if !wait(partCtx, drainInterval) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// wait reports false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (e *Entry) hello() messenger.Hello {
+	return messenger.Hello{
+		Node: e.settings.Node, Role: identifier.RoleEntry, FailureDomain: e.settings.FailureDomain,
+		Incarnation: e.incarnation, Address: e.settings.Advertise, Revision: e.store.Revision(),
+	}
+}
+
+func (e *Entry) heartbeat() messenger.Heartbeat {
+	return messenger.Heartbeat{Revision: e.store.Revision(), Suspicions: e.suspects.list()}
+}
--- /dev/null
+++ b/internal/process/entryrunner/suspects.go
@@ -0,0 +1,67 @@
+package entryrunner
+
+import (
+	"sync"
+	"time"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/quarantiner"
+)
+
+// suspects shares the quarantiner between goroutines and tells peers of news.
+type suspects struct {
+	mu          sync.Mutex
+	quarantiner *quarantiner.Quarantiner
+	spread      func()
+}
+
+func newSuspects(q *quarantiner.Quarantiner, spread func()) *suspects {
+	return &suspects{quarantiner: q, spread: spread}
+}
+
+// crashes returns how many upstreams the digest has crashed.
+func (s *suspects) crashes(d identifier.Digest) int {
+	for _, suspicion := range s.list() {
+		if suspicion.Digest == d {
+			return suspicion.Crashes
+		}
+	}
+	return 0
+}
+
+// crashed is called when a stream tells that its upstream died. The agent counts the crash and its heartbeat brings
+// the number; this entry must only know that the digest is suspect.
+func (s *suspects) crashed(d identifier.Digest) {
+	s.merge([]messenger.Suspicion{{Digest: d, Crashes: 1}})
+}
+
+func (s *suspects) list() []messenger.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantiner.Suspicions(time.Now())
+}
+
+// merge takes suspicions of a peer and spreads those that are news.
+func (s *suspects) merge(news []messenger.Suspicion) {
+	if len(news) == 0 {
+		return
+	}
+	s.mu.Lock()
+	now := time.Now()
+	before := total(s.quarantiner.Suspicions(now))
+	s.quarantiner.Merge(now, news)
+	after := total(s.quarantiner.Suspicions(now))
+	s.mu.Unlock()
+	if after > before {
+		s.spread()
+	}
+}
+
+func total(all []messenger.Suspicion) int {
+	sum := 0
+	for _, s := range all {
+		sum += s.Crashes
+	}
+	return sum
+}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -3,6 +3,7 @@
 package registrar
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -154,8 +155,8 @@
 	return r.listed[node].leaving
 }
 
-// Summaries returns what to tell peers of the nodes heard recently.
-func (r *Registrar) Summaries(now time.Time) []messenger.NodeSummary {
+// Summaries returns what to tell peers of the nodes heard recently: a random choice of at most limit nodes.
+func (r *Registrar) Summaries(now time.Time, limit int) []messenger.NodeSummary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]messenger.NodeSummary, 0, len(r.nodes))
@@ -168,6 +169,6 @@
 		s.Age = age
 		out = append(out, s)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
-	return out
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(limit, len(out))]
 }
