Thin stand-ins: platform and upstream clients with their stand-ins

Cause: entry, agent and prover need the platform, an engine and a service to run against. Ruled out: pooled connections for calls that must not be repeated, because net/http repeats a request with an Idempotency-Key by itself when a reused connection turns out to be closed; versions counted by row, because a row that is deleted and created again would get an earlier version. Change: storer, driver, the stand-ins of platform, engine and service in a working form, the shared simulator of cold start and falling over, and the command standin. Not yet there: lock-step ranks, orders, KV cache, prefix cache, pages. Conclusion: other parts can be built against these stand-ins.

--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"currantledge.example/currantledge/internal/standin/engineserver"
+	"currantledge.example/currantledge/internal/standin/platformserver"
+	"currantledge.example/currantledge/internal/standin/serviceserver"
+	"currantledge.example/currantledge/internal/standin/simulator"
+)
+
+func newParser(ctx context.Context) (*flags.Parser, error) {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"platform", "table, objects, VM list and weight store", &platformCommand{ctx: ctx}},
+		{"engine", "model engine", &engineCommand{ctx: ctx}},
+		{"service", "plain service", &serviceCommand{ctx: ctx}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return nil, errors.Wrapf(err, "add command %s", c.name)
+		}
+	}
+	return parser, nil
+}
+
+// runner is a stand-in that has taken its address.
+type runner interface {
+	Address() string
+	Run(ctx context.Context) error
+}
+
+// serve announces the address on standard output, for callers that let the system choose the port.
+func serve(ctx context.Context, r runner) error {
+	fmt.Fprintln(os.Stdout, "listening", r.Address())
+	return r.Run(ctx)
+}
+
+func checkLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "address %q is not IP:port", address)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.Newf("address %q is not on loopback; use 127.0.0.1:PORT", address)
+	}
+	return nil
+}
+
+type platformCommand struct {
+	ctx        context.Context
+	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"loopback IP:port"`
+	ListLag    time.Duration `long:"list-lag" description:"age of the VM list"`
+	WeightRate int64         `long:"weight-rate" description:"bytes per second of the weight store"`
+	Seed       int64         `long:"seed" default:"1" description:"seed of faults with a probability"`
+}
+
+// Execute runs the command.
+func (c *platformCommand) Execute([]string) error {
+	if err := checkLoopback(c.Listen); err != nil {
+		return err
+	}
+	server, err := platformserver.New(platformserver.Config{
+		Address: c.Listen, ListLag: c.ListLag, WeightRate: c.WeightRate, Seed: c.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(c.ctx, server)
+}
+
+type upstreamOptions struct {
+	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"loopback IP:port"`
+	Cold       int           `long:"cold" default:"8" description:"running requests that a cold upstream bears"`
+	Warm       int           `long:"warm" default:"64" description:"running requests that a warm upstream bears"`
+	WarmAfter  int           `long:"warm-after" default:"50" description:"completions until the upstream is warm"`
+	Down       time.Duration `long:"down" default:"2s" description:"time without listening after falling over"`
+	Exit       bool          `long:"exit" description:"exit the process instead of coming back after falling over"`
+	RecordFile string        `long:"record-file" description:"file that receives the record at the end"`
+}
+
+func (o upstreamOptions) config() (simulator.Config, error) {
+	return simulator.Config{
+		Address: o.Listen, Cold: o.Cold, Warm: o.Warm, WarmAfter: o.WarmAfter,
+		Down: o.Down, Exit: o.Exit, RecordFile: o.RecordFile,
+	}, checkLoopback(o.Listen)
+}
+
+type engineCommand struct {
+	ctx context.Context
+	upstreamOptions
+	StepBase       time.Duration `long:"step-base" default:"5ms" description:"duration of an empty step"`
+	StepPerRequest time.Duration `long:"step-per-request" default:"50us" description:"what a running request adds to a step"`
+	Batch          int           `long:"batch" description:"bound of running requests, 0 for none"`
+	Queue          int           `long:"queue" description:"bound of waiting requests when batch is set"`
+	ReportLag      time.Duration `long:"report-lag" default:"300ms" description:"age of reports, negative for none"`
+	Models         []string      `long:"model" description:"loaded model, repeatable; without any the engine serves every model"`
+}
+
+// Execute runs the command.
+func (c *engineCommand) Execute([]string) error {
+	sim, err := c.config()
+	if err != nil {
+		return err
+	}
+	server, err := engineserver.New(engineserver.Config{
+		Simulator: sim,
+		StepBase:  c.StepBase, StepPerRequest: c.StepPerRequest,
+		Batch: c.Batch, Queue: c.Queue,
+		ReportLag: c.ReportLag, Models: c.Models,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(c.ctx, server)
+}
+
+type serviceCommand struct {
+	ctx context.Context
+	upstreamOptions
+	Latency time.Duration `long:"latency" default:"20ms" description:"duration of a call, negative for none"`
+}
+
+// Execute runs the command.
+func (c *serviceCommand) Execute([]string) error {
+	sim, err := c.config()
+	if err != nil {
+		return err
+	}
+	server, err := serviceserver.New(serviceserver.Config{Simulator: sim, Latency: c.Latency})
+	if err != nil {
+		return err
+	}
+	return serve(c.ctx, server)
+}
--- /dev/null
+++ b/internal/connection/driver/service_test.go
@@ -0,0 +1,148 @@
+package driver_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/driver"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/standin/serviceserver"
+	"currantledge.example/currantledge/internal/standin/simulator"
+)
+
+func startService(t *testing.T, cfg serviceserver.Config) (*driver.Service, string) {
+	t.Helper()
+	cfg.Simulator.Address = loopback
+	server, err := serviceserver.New(cfg)
+	require.NoError(t, err)
+	base := serve(t, server)
+	service := driver.NewService(driver.Config{BaseURL: base})
+	t.Cleanup(service.Close)
+	return service, base
+}
+
+func serviceCall(path string, key identifier.Key) driver.Call {
+	return driver.Call{
+		Request: identifier.NewRequest(), Method: http.MethodPost, Path: path, Body: []byte("order"), Key: key,
+		Headers: []messenger.Header{{Name: "Content-Type", Value: "text/plain"}},
+	}
+}
+
+func ignoreHead(int, []messenger.Header) error { return nil }
+
+// Guards against calls that lose their path, key, request id or answer on the way.
+func TestCall(t *testing.T) {
+	t.Parallel()
+	service, base := startService(t, serviceserver.Config{Latency: -1})
+	call := serviceCall("/reserve/7?size=2", "k1")
+	status := 0
+	emit, body := collect()
+	err := service.Call(t.Context(), call, func(s int, _ []messenger.Header) error {
+		status = s
+		return nil
+	}, emit)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, string(serviceserver.Answer(http.MethodPost, "/reserve/7?size=2", call.Body)), body.String())
+	calls := record(t, base).Calls
+	require.Len(t, calls, 1)
+	require.Equal(t, "k1", calls[0].Key)
+	require.Equal(t, call.Request.String(), calls[0].Request)
+	require.Equal(t, 1, calls[0].Execution)
+}
+
+// Guards against a second execution that looks like the first one.
+func TestSecondExecutionDiffers(t *testing.T) {
+	t.Parallel()
+	service, _ := startService(t, serviceserver.Config{Latency: -1})
+	call := serviceCall("/reserve", "k1")
+	for execution := range 2 {
+		emit, body := collect()
+		require.NoError(t, service.Call(t.Context(), call, ignoreHead, emit))
+		same := body.String() == string(serviceserver.Answer(http.MethodPost, "/reserve", call.Body))
+		require.Equal(t, execution == 0, same)
+	}
+}
+
+// Guards against net/http sending a keyed call again on its own when the service closes the connection unanswered.
+func TestCallIsNeverRepeated(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", loopback)
+	require.NoError(t, err)
+	accepted := make(chan struct{}, 16)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			// Reads the request, then closes without an answer.
+			_, _ = conn.Read(make([]byte, 4096))
+			conn.Close()
+		}
+	}()
+	service := driver.NewService(driver.Config{BaseURL: "http://" + listener.Addr().String()})
+	for range 3 {
+		call := serviceCall("/reserve", "k1")
+		call.Body = nil
+		emit, _ := collect()
+		err = service.Call(t.Context(), call, ignoreHead, emit)
+		var broken *driver.BrokenError
+		require.ErrorAs(t, err, &broken)
+	}
+	require.NoError(t, listener.Close())
+	<-served
+	require.Len(t, accepted, 3)
+}
+
+// Guards against a call that outlives its service and is taken for a complete one.
+func TestCallBreaks(t *testing.T) {
+	t.Parallel()
+	service, base := startService(t, serviceserver.Config{
+		Latency:   time.Hour,
+		Simulator: simulator.Config{Down: time.Millisecond},
+	})
+	ended := make(chan error, 1)
+	go func() {
+		emit, _ := collect()
+		ended <- service.Call(context.WithoutCancel(t.Context()), serviceCall("/reserve", "k1"), ignoreHead, emit)
+	}()
+	require.Eventually(t, func() bool { return len(record(t, base).Calls) == 1 }, 10*time.Second, time.Millisecond)
+	control(t, base, map[string]any{"crash": true})
+	var broken *driver.BrokenError
+	require.ErrorAs(t, <-ended, &broken)
+}
+
+// Guards against a body without length whose truncation nobody could notice.
+func TestCallRefusesUndelimitedBody(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", loopback)
+	require.NoError(t, err)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"))
+		conn.Close()
+	}()
+	service := driver.NewService(driver.Config{BaseURL: "http://" + listener.Addr().String()})
+	emit, _ := collect()
+	err = service.Call(t.Context(), serviceCall("/x", ""), ignoreHead, emit)
+	var broken *driver.BrokenError
+	require.ErrorAs(t, err, &broken)
+	<-served
+	require.NoError(t, listener.Close())
+}
--- /dev/null
+++ b/internal/standin/engineserver/report.go
@@ -0,0 +1,109 @@
+package engineserver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantledge.example/currantledge/internal/standin/responder"
+	"currantledge.example/currantledge/internal/standin/simulator"
+)
+
+// samplesPerLag is how many states are kept within one lag.
+const samplesPerLag = 6
+
+type (
+	wireModel struct {
+		Name     string   `json:"name"`
+		Version  string   `json:"version"`
+		Adapters []string `json:"adapters"`
+	}
+	wireReport struct {
+		Boot        string      `json:"boot"`
+		Running     int         `json:"running"`
+		Waiting     int         `json:"waiting"`
+		Step        uint64      `json:"step"`
+		StepMicros  int64       `json:"stepMicros"`
+		MapVersion  uint64      `json:"mapVersion"`
+		PreparedMap uint64      `json:"preparedMap"`
+		Experts     []int64     `json:"experts"`
+		Models      []wireModel `json:"models"`
+		Role        string      `json:"role"`
+		KVUsed      int64       `json:"kvUsed"`
+		KVSize      int64       `json:"kvSize"`
+		AsOf        time.Time   `json:"asOf"`
+	}
+)
+
+// reporter answers with the state of one lag ago.
+type reporter struct {
+	ctx   context.Context
+	lag   time.Duration
+	state func() wireReport
+
+	mu      sync.Mutex
+	samples []wireReport
+}
+
+func newReporter(ctx context.Context, lag time.Duration, state func() wireReport) *reporter {
+	return &reporter{ctx: ctx, lag: lag, state: state}
+}
+
+// run samples the state.
+func (r *reporter) run() {
+	if r.lag <= 0 {
+		return
+	}
+	for {
+		r.sample()
+		if !simulator.Pause(r.ctx, r.lag/samplesPerLag) {
+			return
+		}
+	}
+}
+
+func (r *reporter) sample() {
+	state := r.state()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples = append(r.samples, state)
+	for len(r.samples) > 1 && state.AsOf.Sub(r.samples[1].AsOf) >= r.lag {
+		r.samples = r.samples[1:]
+	}
+}
+
+// report returns the newest state that is at least one lag old, or the first state of this life.
+func (r *reporter) report() wireReport {
+	if r.lag <= 0 {
+		return r.state()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.samples) == 0 {
+		return r.state()
+	}
+	return r.samples[0]
+}
+
+func (e *engine) state() wireReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return wireReport{
+		Boot:       string(e.life.Boot),
+		Running:    len(e.running),
+		Waiting:    len(e.waiting),
+		Step:       uint64(e.step),
+		StepMicros: e.stepTime.Microseconds(),
+		Experts:    []int64{},
+		Models:     []wireModel{},
+		AsOf:       time.Now(),
+	}
+}
+
+func (e *engine) report(w http.ResponseWriter, r *http.Request) {
+	if !e.sim.AwaitStall(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	responder.JSON(w, http.StatusOK, e.reports.report())
+}
