--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -25,6 +25,8 @@
 	writeTimeout     = time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 1 << 16
+	// maxPosted bounds the messages that wait for a slow peer before its link is closed.
+	maxPosted = 1 << 12
 )
 
 // SilentError tells that the peer has not been heard for too long.
@@ -69,6 +71,7 @@
 	busy      atomic.Int64
 	busySince atomic.Int64
 	wake      chan struct{}
+	posted    chan messenger.Message
 }
 
 // Greet exchanges Hello messages over a new connection and checks the peer's identity. The dialling side opens
@@ -80,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{cfg: cfg, conn: conn, dialled: dialled, wake: make(chan struct{}, 1)}
+	l := &Link{cfg: cfg, conn: conn, dialled: dialled, wake: make(chan struct{}, 1), posted: make(chan messenger.Message, maxPosted)}
 	if dialled {
 		l.control, err = conn.OpenStreamSync(ctx)
 	} else {
@@ -141,6 +144,15 @@
 	return encoder.Write(l.control, m)
 }
 
+// Post sends a message without waiting for the transport. A peer that does not take its messages loses the link.
+func (l *Link) Post(m messenger.Message) {
+	select {
+	case l.posted <- m:
+	default:
+		l.Close("peer does not take its messages")
+	}
+}
+
 // Run reads control messages, sends heartbeats and watches for silence until the link is down or ctx ends.
 // It returns the reason.
 func (l *Link) Run(ctx context.Context, handle func(messenger.Message)) error {
@@ -150,6 +162,7 @@
 	parts.Go(func() { cancel(l.read(handle)) })
 	parts.Go(func() { cancel(l.beat(ctx)) })
 	parts.Go(func() { cancel(l.watch(ctx)) })
+	parts.Go(func() { cancel(l.post(ctx)) })
 	select {
 	case <-ctx.Done():
 	case <-l.conn.Context().Done():
@@ -172,6 +185,19 @@
 	}
 }
 
+func (l *Link) post(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-l.posted:
+			if err := l.Send(m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 func (l *Link) beat(ctx context.Context) error {
 	for {
 		if err := l.sendHeartbeat(); err != nil {
--- /dev/null
+++ b/internal/process/agentrunner/streams.go
@@ -0,0 +1,132 @@
+package agentrunner
+
+import (
+	"context"
+	"time"
+
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/streamer"
+)
+
+const retryAfter = time.Second
+
+// serveStream handles one request stream of an entry.
+func (a *Agent) serveStream(ctx context.Context, link *linker.Link, stream *linker.Stream) {
+	defer stream.Release()
+	first, err := stream.Receive()
+	if err != nil {
+		return
+	}
+	switch m := first.(type) {
+	case messenger.Dispatch:
+		a.dispatch(ctx, link, stream, m)
+	case messenger.Attach:
+		a.attach(ctx, stream, m)
+	case messenger.Inquire:
+		a.inquire(ctx, stream, m)
+	default:
+		_ = stream.Send(messenger.Refused{Reason: messenger.ReasonMalformed})
+	}
+}
+
+// dispatch admits a request, starts it and sends its answer. The run goes on if the connection is lost, so that the
+// entry can attach to it again.
+func (a *Agent) dispatch(ctx context.Context, link *linker.Link, stream *linker.Stream, d messenger.Dispatch) {
+	buffer, err := a.answers.Open(d.Request, d.Attempt, d.Customer)
+	if err != nil {
+		a.attach(ctx, stream, messenger.Attach{Request: d.Request, Attempt: d.Attempt, Customer: d.Customer})
+		return
+	}
+	if reason := a.admission.admit(link.Peer().Node, d); reason != "" {
+		a.answers.Remove(d.Request, d.Attempt, d.Customer)
+		_ = stream.Send(messenger.Refused{Reason: reason, RetryAfter: retryAfter})
+		return
+	}
+	r := &run{agent: a, dispatch: d, buffer: buffer}
+	a.upstream.begin(r)
+	if refusal := r.claim(); refusal != nil {
+		a.upstream.end(r)
+		a.admission.finish(d, false)
+		// An entry that attaches after a lost connection learns that nothing ran and dispatches again.
+		buffer.Fail(messenger.ReasonWithdrawn, false)
+		_ = stream.Send(refusal)
+		return
+	}
+	go r.execute()
+	a.send(ctx, stream, buffer, attempt{d.Request, d.Attempt, d.Customer, r}, 0)
+}
+
+// attach goes on with an answer from an offset. An unknown attempt is recorded as failed, so that a dispatch that is
+// still on its way never starts.
+func (a *Agent) attach(ctx context.Context, stream *linker.Stream, m messenger.Attach) {
+	buffer, found := a.answers.Lookup(m.Request, m.Attempt, m.Customer)
+	if !found {
+		opened, err := a.answers.Open(m.Request, m.Attempt, m.Customer)
+		if err == nil {
+			opened.Fail(messenger.ReasonNotFound, false)
+			_ = stream.Send(messenger.Refused{Reason: messenger.ReasonNotFound, RetryAfter: retryAfter})
+			return
+		}
+		buffer, found = a.answers.Lookup(m.Request, m.Attempt, m.Customer)
+		if !found {
+			return
+		}
+	}
+	a.send(ctx, stream, buffer, attempt{m.Request, m.Attempt, m.Customer, a.upstream.find(m)}, m.Offset)
+}
+
+// send copies an answer to the entry and takes its acknowledgements until the answer or the stream ends.
+func (a *Agent) send(ctx context.Context, stream *linker.Stream, buffer *streamer.Buffer, at attempt, offset bytes) {
+	reader, err := buffer.Attach(offset)
+	if err != nil {
+		_ = stream.Send(messenger.Broken{Reason: messenger.ReasonMismatch, MayHaveRun: true})
+		return
+	}
+	if err := stream.Send(messenger.Started{Request: at.request, Customer: at.customer}); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	acknowledged := make(chan struct{})
+	go func() {
+		defer close(acknowledged)
+		defer cancel()
+		a.receive(stream, at)
+	}()
+	at.run.attended(true)
+	defer at.run.attended(false)
+	for {
+		m, err := reader.Next(ctx)
+		if err != nil {
+			break
+		}
+		if err := stream.Send(m); err != nil {
+			break
+		}
+	}
+	// The last acknowledgement follows the end of the answer.
+	stream.Finish()
+	<-acknowledged
+}
+
+// receive takes the entry's acknowledgements until the stream ends.
+func (a *Agent) receive(stream *linker.Stream, at attempt) {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case messenger.Ack:
+			if err := a.answers.Acknowledge(at.request, at.number, at.customer, m); err != nil || m.Finished {
+				return
+			}
+		case messenger.Cancel:
+			a.log.Event(logger.EventCancelled).Stringer("request", at.request).Send()
+			at.run.cancelIfRepeatable()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/queuer/queuer_test.go
@@ -0,0 +1,92 @@
+package queuer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/queuer"
+)
+
+var start = time.Unix(1000, 0)
+
+func waiter(customer identifier.Customer, candidates ...identifier.Upstream) queuer.Waiter {
+	return queuer.Waiter{Request: identifier.NewRequest(), Customer: customer, Candidates: candidates}
+}
+
+func grant(customer identifier.Customer, credits identifier.Credits) messenger.Grant {
+	return messenger.Grant{Incarnation: 1, Serial: 7, Customer: customer, Credits: credits, Lifetime: time.Second}
+}
+
+// Guards against a credit of one customer that lets another customer's request in.
+func TestGrantBelongsToCustomer(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	require.Empty(t, q.Add(start, waiter("a", "u1")))
+	require.Empty(t, q.Grant(start, "u1", grant("b", 1)))
+	require.Len(t, q.Grant(start, "u1", grant("a", 1)), 1)
+}
+
+// Guards against a grant that admits more requests than it has credits, and against unfair order.
+func TestGrantServesOldestFirst(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	first, second, third := waiter("a", "u1"), waiter("a", "u1"), waiter("a", "u1")
+	for _, w := range []queuer.Waiter{first, second, third} {
+		q.Add(start, w)
+	}
+	matches := q.Grant(start, "u1", grant("a", 2))
+	require.Len(t, matches, 2)
+	require.Equal(t, first.Request, matches[0].Request)
+	require.Equal(t, second.Request, matches[1].Request)
+	require.Equal(t, 1, q.Waiting("a"))
+}
+
+// Guards against the use of a credit that has expired at the agent, which would cost a refused dispatch.
+func TestExpiredCreditIsNotUsed(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	standing := grant("a", 1)
+	standing.Standing = true
+	q.Grant(start, "u1", standing)
+	require.Empty(t, q.Add(start.Add(950*time.Millisecond), waiter("a", "u1")))
+}
+
+// Guards against credits that stay with an entry whose requests have gone elsewhere.
+func TestSurplusIsReturned(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	q.Add(start, waiter("a", "u1", "u2"))
+	require.Len(t, q.Grant(start, "u1", grant("a", 1)), 1)
+	require.Empty(t, q.Grant(start, "u2", grant("a", 3)))
+	returned := q.Surplus()
+	require.Len(t, returned, 1)
+	require.Equal(t, identifier.Credits(3), returned[0].Return.Credits)
+	require.Empty(t, q.Surplus())
+}
+
+// Guards against demand at upstreams where a request does not go, and against requests that never widen their search.
+func TestDemandWidens(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	q.Add(start, waiter("a", "u1", "u2", "u3", "u4", "u5"))
+	require.Len(t, q.DemandOn(start, "u2"), 1)
+	require.Empty(t, q.DemandOn(start, "u3"))
+	require.Len(t, q.DemandOn(start.Add(50*time.Millisecond), "u4"), 1)
+	require.Empty(t, q.DemandOn(start.Add(50*time.Millisecond), "u5"))
+	require.Len(t, q.DemandOn(start.Add(100*time.Millisecond), "u5"), 1)
+}
+
+// Guards against credits that are used over a link that is down.
+func TestDropForgetsCredits(t *testing.T) {
+	t.Parallel()
+	q := queuer.New()
+	standing := grant("a", 1)
+	standing.Standing = true
+	q.Grant(start, "u1", standing)
+	q.Drop("u1")
+	require.Empty(t, q.Add(start, waiter("a", "u1")))
+}
