Add deployments of all processes to the launcher

Cause: the demo and the fault tests need whole deployments of given size with fault proxies before chosen links. Ruled out: proxies before every link, which would add their cost to every figure; settings through environment variables, which the product does not read. Change: a plan gives the size; Deploy makes keys, writes settings, starts stand-ins, agents and entries, applies the resources through an entry and waits until all nodes are ready. Nodes have their own loopback host address. Chosen links lead through a proxy by their advertised addresses. The real binaries do not exist yet, so this was not run against them.

--- /dev/null
+++ b/internal/prover/launcher/deployment.go
@@ -0,0 +1,579 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"currantledge.example/currantledge/internal/prover/interposer"
+)
+
+const (
+	// parallelStarts bounds how many processes start at once, since a start takes a whole core for a moment.
+	parallelStarts = 8
+	// seedEntries is the number of entries whose addresses a node gets in its settings.
+	seedEntries    = 3
+	operatorKey    = "operator-key"
+	requestTimeout = 10 * time.Second
+)
+
+// Node is an entry or an agent of a deployment.
+type Node struct {
+	Name          string
+	FailureDomain string
+	// Fleet is the listen address and Advertised the address that peers dial, which may be a proxy's.
+	Fleet      string
+	Advertised string
+	// PlatformURL is the platform as the node sees it.
+	PlatformURL string
+	// Process is replaced when the node is started again.
+	Process *Process
+
+	host     string
+	settings string
+}
+
+// Entry is an entry of a deployment.
+type Entry struct {
+	Node
+	Callers   string
+	Operators string
+}
+
+// CallersURL returns the base URL for callers.
+func (e *Entry) CallersURL() string {
+	return "http://" + e.Callers
+}
+
+// OperatorsURL returns the base URL for operators.
+func (e *Entry) OperatorsURL() string {
+	return "http://" + e.Operators
+}
+
+// Agent is an agent of a deployment with its upstream.
+type Agent struct {
+	Node
+	Metrics  string
+	Upstream Upstream
+	Standin  Standin
+	// UpstreamURL is the upstream as the agent sees it.
+	UpstreamURL string
+	kind        string
+	args        []string
+}
+
+// Standin is a stand-in of a deployment.
+type Standin struct {
+	Name    string
+	Address string
+	Process *Process
+}
+
+// URL returns the base URL of the stand-in.
+func (s *Standin) URL() string {
+	return "http://" + s.Address
+}
+
+// Deployment is a running deployment of all processes.
+type Deployment struct {
+	Plan     Plan
+	Platform Standin
+	Entries  []*Entry
+	Agents   []*Agent
+
+	launcher *Launcher
+	binaries Binaries
+	proxies  map[Link]*interposer.Proxy
+	client   *http.Client
+}
+
+// Deploy starts a deployment and returns when all its nodes are ready. The processes end with the launcher; proxies end
+// with Close.
+func Deploy(ctx context.Context, l *Launcher, binaries Binaries, plan Plan) (*Deployment, error) {
+	plan.setDefaults()
+	d := &Deployment{
+		Plan:     plan,
+		launcher: l,
+		binaries: binaries,
+		proxies:  map[Link]*interposer.Proxy{},
+		client:   &http.Client{Timeout: requestTimeout},
+	}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		d.lay,
+		d.makeKeys,
+		d.startPlatform,
+		d.startStandins,
+		d.startNodes,
+		d.applyResources,
+		d.awaitNodes,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lay gives every process its addresses and makes the proxies.
+func (d *Deployment) lay(context.Context) error {
+	if err := d.layPlatform(); err != nil {
+		return err
+	}
+	for i := range d.Plan.Entries {
+		if err := d.layEntry(i); err != nil {
+			return err
+		}
+	}
+	for _, g := range d.Plan.Groups {
+		for rank := range g.Ranks {
+			if err := d.layRank(g, rank); err != nil {
+				return err
+			}
+		}
+	}
+	for _, s := range d.Plan.Services {
+		for runner := range s.Runners {
+			if err := d.layRunner(s, runner); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) layPlatform() error {
+	host, err := d.launcher.Host()
+	if err != nil {
+		return err
+	}
+	d.Platform.Name = "platform"
+	d.Platform.Address, err = d.launcher.Address(host)
+	return err
+}
+
+func (d *Deployment) layEntry(index int) error {
+	e := &Entry{Node: Node{Name: fmt.Sprintf("entry-%d", index+1), FailureDomain: d.Plan.domain(index)}}
+	if err := d.layNode(&e.Node, LinkToEntry); err != nil {
+		return err
+	}
+	if err := d.assign(e.host, &e.Callers, &e.Operators); err != nil {
+		return err
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+func (d *Deployment) layRank(g GroupPlan, rank int) error {
+	a := &Agent{
+		Upstream: Upstream{Name: fmt.Sprintf("%s-%02d", g.Name, rank), ModelGroup: g.Name, Rank: &rank},
+		kind:     "engine",
+	}
+	a.args = append(engineArgs(g), d.Plan.EngineArgs...)
+	return d.layAgent(a, g.Limits)
+}
+
+func (d *Deployment) layRunner(s ServicePlan, runner int) error {
+	a := &Agent{
+		Upstream: Upstream{Name: fmt.Sprintf("%s-%d", s.Name, runner+1), Service: s.Name},
+		kind:     "service",
+	}
+	a.args = append(serviceArgs(s), d.Plan.ServiceArgs...)
+	return d.layAgent(a, s.Limits)
+}
+
+func (d *Deployment) layAgent(a *Agent, limits Limits) error {
+	a.Name = "agent-" + a.Upstream.Name
+	a.FailureDomain = d.Plan.domain(len(d.Agents))
+	if err := d.layNode(&a.Node, LinkToAgent); err != nil {
+		return err
+	}
+	a.Standin.Name = a.Upstream.Name
+	if err := d.assign(a.host, &a.Metrics, &a.Standin.Address); err != nil {
+		return err
+	}
+	upstream, err := d.interpose(Link{LinkToUpstream, a.Name}, interposer.TCP, a.host, a.Standin.Address)
+	if err != nil {
+		return err
+	}
+	a.UpstreamURL = "http://" + upstream
+	a.Upstream.Address = a.Advertised
+	a.Upstream.FailureDomain = a.FailureDomain
+	a.Upstream.ColdLimit = limits.Cold
+	a.Upstream.WarmLimit = limits.Warm
+	a.Upstream.WarmAfter = limits.WarmAfter
+	a.Upstream.State = StateActive
+	d.Agents = append(d.Agents, a)
+	return nil
+}
+
+func (d *Deployment) layNode(n *Node, kind LinkKind) error {
+	host, err := d.launcher.Host()
+	if err != nil {
+		return err
+	}
+	n.host = host
+	if err := d.assign(host, &n.Fleet); err != nil {
+		return err
+	}
+	n.Advertised, err = d.interpose(Link{kind, n.Name}, interposer.UDP, host, n.Fleet)
+	if err != nil {
+		return err
+	}
+	platform, err := d.interpose(Link{LinkToPlatform, n.Name}, interposer.TCP, host, d.Platform.Address)
+	n.PlatformURL = "http://" + platform
+	return err
+}
+
+func (d *Deployment) assign(host string, addresses ...*string) error {
+	for _, address := range addresses {
+		free, err := d.launcher.Address(host)
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	return nil
+}
+
+// interpose returns the address to dial for a link: the target's, or that of a proxy before it.
+func (d *Deployment) interpose(link Link, network interposer.Network, host, target string) (string, error) {
+	if !d.Plan.Interpose(link) {
+		return target, nil
+	}
+	listen, err := d.launcher.Address(host)
+	if err != nil {
+		return "", err
+	}
+	proxy, err := interposer.New(interposer.Config{Network: network, Listen: listen, Target: target, Seed: d.Plan.Seed})
+	if err != nil {
+		return "", err
+	}
+	d.proxies[link] = proxy
+	return proxy.Address(), nil
+}
+
+func (d *Deployment) makeKeys(ctx context.Context) error {
+	args := []string{"keygen", "--out", d.keyFolder()}
+	for _, e := range d.Entries {
+		args = append(args, "--node", e.Name+":entry")
+	}
+	for _, a := range d.Agents {
+		args = append(args, "--node", a.Name+":agent")
+	}
+	_, err := d.launcher.Run(ctx, d.binaries.Product, args...)
+	return err
+}
+
+func (d *Deployment) keyFolder() string {
+	return filepath.Join(d.launcher.Folder(), "keys")
+}
+
+func (d *Deployment) keyFiles(node string) keyFiles {
+	return keyFiles{
+		Authority:   filepath.Join(d.keyFolder(), "authority.pem"),
+		Certificate: filepath.Join(d.keyFolder(), node+".pem"),
+		Key:         filepath.Join(d.keyFolder(), node+"-key.pem"),
+	}
+}
+
+func (d *Deployment) startPlatform(ctx context.Context) error {
+	args := append(d.platformArgs(), d.Plan.PlatformArgs...)
+	return d.startStandin(ctx, &d.Platform, "platform", platformReadyPath, args)
+}
+
+func (d *Deployment) startStandin(ctx context.Context, s *Standin, command, readyPath string, args []string) error {
+	process, err := d.launcher.Start(ctx, Spec{
+		Name:     "standin-" + s.Name,
+		Path:     d.binaries.Standin,
+		Args:     append([]string{command, "--listen", s.Address}, args...),
+		ReadyURL: s.URL() + readyPath,
+	})
+	s.Process = process
+	return err
+}
+
+func (d *Deployment) startStandins(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelStarts)
+	for _, a := range d.Agents {
+		path := engineReadyPath
+		if a.kind == "service" {
+			path = serviceReadyPath
+		}
+		group.Go(func() error { return d.startStandin(ctx, &a.Standin, a.kind, path, a.args) })
+	}
+	return group.Wait()
+}
+
+func (d *Deployment) startNodes(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelStarts)
+	for _, e := range d.Entries {
+		group.Go(func() error { return d.startEntry(ctx, e) })
+	}
+	for _, a := range d.Agents {
+		group.Go(func() error { return d.startAgent(ctx, a) })
+	}
+	return group.Wait()
+}
+
+func (d *Deployment) startEntry(ctx context.Context, e *Entry) error {
+	return d.startNode(ctx, &e.Node, "entry", "http://"+e.Callers+"/livez", entrySettings{
+		Node:               e.Name,
+		FailureDomain:      e.FailureDomain,
+		Callers:            e.Callers,
+		Operators:          e.Operators,
+		Fleet:              e.Fleet,
+		Advertise:          e.Advertised,
+		Peers:              d.seeds(e.Name),
+		Platform:           e.PlatformURL,
+		Keys:               d.keyFiles(e.Name),
+		OperatorKeyDigests: []string{KeyDigest(operatorKey)},
+		LogLevel:           d.Plan.LogLevel,
+		Routing:            d.Plan.Routing,
+	})
+}
+
+func (d *Deployment) startAgent(ctx context.Context, a *Agent) error {
+	return d.startNode(ctx, &a.Node, "agent", "http://"+a.Metrics+"/livez", agentSettings{
+		Node:          a.Name,
+		FailureDomain: a.FailureDomain,
+		Upstream:      a.Upstream.Name,
+		UpstreamURL:   a.UpstreamURL,
+		UpstreamKind:  a.kind,
+		Fleet:         a.Fleet,
+		Advertise:     a.Advertised,
+		Peers:         d.seeds(a.Name),
+		Platform:      a.PlatformURL,
+		Keys:          d.keyFiles(a.Name),
+		LogLevel:      d.Plan.LogLevel,
+		Metrics:       a.Metrics,
+	})
+}
+
+func (d *Deployment) startNode(ctx context.Context, n *Node, command, readyURL string, settings any) error {
+	n.settings = filepath.Join(d.launcher.Folder(), n.Name+".json")
+	raw, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return errors.Wrapf(err, "encode the settings of %s", n.Name)
+	}
+	if err := os.WriteFile(n.settings, raw, 0o600); err != nil {
+		return errors.Wrapf(err, "write the settings of %s", n.Name)
+	}
+	n.Process, err = d.launcher.Start(ctx, Spec{
+		Name:     n.Name,
+		Path:     d.binaries.Product,
+		Args:     []string{command, "--settings", n.settings},
+		ReadyURL: readyURL,
+	})
+	return err
+}
+
+// seeds returns the addresses of some entries other than the node itself.
+func (d *Deployment) seeds(node string) []string {
+	seeds := []string{}
+	for _, e := range d.Entries {
+		if e.Name != node && len(seeds) < seedEntries {
+			seeds = append(seeds, e.Advertised)
+		}
+	}
+	return seeds
+}
+
+// applyResources applies the resources through the first entry, in an order in which each refers to earlier ones.
+func (d *Deployment) applyResources(ctx context.Context) error {
+	for _, name := range d.Plan.FailureDomains {
+		if err := d.SetFailureDomain(ctx, name, StateIn); err != nil {
+			return err
+		}
+	}
+	for _, g := range d.Plan.Groups {
+		resource := ModelGroup{
+			Name:           g.Name,
+			Models:         []Model{{Name: g.Model, Version: modelVersion, Adapters: []string{}}},
+			FailureDomains: d.Plan.FailureDomains,
+			Ranks:          g.Ranks,
+			Experts:        g.Experts,
+			ExpertBytes:    g.ExpertBytes,
+		}
+		if err := d.Apply(ctx, "modelGroups", g.Name, resource); err != nil {
+			return err
+		}
+	}
+	for _, s := range d.Plan.Services {
+		if err := d.Apply(ctx, "services", s.Name, Service{Name: s.Name, IdempotentPaths: s.IdempotentPaths}); err != nil {
+			return err
+		}
+	}
+	for _, a := range d.Agents {
+		if err := d.Apply(ctx, "upstreams", a.Upstream.Name, a.Upstream); err != nil {
+			return err
+		}
+	}
+	return d.applyCustomers(ctx)
+}
+
+func (d *Deployment) applyCustomers(ctx context.Context) error {
+	for _, c := range d.Plan.Customers {
+		resource := Customer{Name: c.Name, Share: c.Share, KeyDigests: []string{KeyDigest(c.Key)}, MaxWaiting: c.MaxWaiting}
+		if err := d.Apply(ctx, "customers", c.Name, resource); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetFailureDomain takes a failure domain out or returns it.
+func (d *Deployment) SetFailureDomain(ctx context.Context, name, state string) error {
+	return d.Apply(ctx, "failureDomains", name, FailureDomain{Name: name, Region: d.Plan.Region, State: state})
+}
+
+// SetUpstream makes an upstream leave or return.
+func (d *Deployment) SetUpstream(ctx context.Context, a *Agent, state string) error {
+	a.Upstream.State = state
+	return d.Apply(ctx, "upstreams", a.Upstream.Name, a.Upstream)
+}
+
+// Apply puts a resource through the first entry whose process runs.
+func (d *Deployment) Apply(ctx context.Context, kind, name string, resource any) error {
+	raw, err := json.Marshal(resource)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s/%s", kind, name)
+	}
+	_, err = d.Operate(ctx, http.MethodPut, "/api/v1/"+kind+"/"+url.PathEscape(name), raw)
+	return err
+}
+
+// Operate sends a request to the operators' API of the first entry whose process runs and returns the response body.
+func (d *Deployment) Operate(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	for _, e := range d.Entries {
+		if e.Process.Running() {
+			return d.OperateAt(ctx, e, method, path, body)
+		}
+	}
+	return nil, errors.New("no entry runs; start one")
+}
+
+// OperateAt sends a request to the operators' API of an entry.
+func (d *Deployment) OperateAt(ctx context.Context, e *Entry, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, e.OperatorsURL()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", method, path)
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s at %s", method, path, e.Name)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read the response to %s %s at %s", method, path, e.Name)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return nil, errors.Newf("%s %s at %s: %s: %s", method, path, e.Name, response.Status, answer)
+	}
+	return answer, nil
+}
+
+// awaitNodes waits until every node says that it is ready.
+func (d *Deployment) awaitNodes(ctx context.Context) error {
+	for _, e := range d.Entries {
+		if err := e.Process.AwaitReady(ctx, e.CallersURL()+"/readyz"); err != nil {
+			return err
+		}
+	}
+	for _, a := range d.Agents {
+		if err := a.Process.AwaitReady(ctx, "http://"+a.Metrics+"/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Restart starts a process that has ended again, with the same settings and addresses.
+func (d *Deployment) Restart(ctx context.Context, process **Process) error {
+	started, err := d.launcher.Start(ctx, (*process).Spec())
+	if err != nil {
+		return err
+	}
+	*process = started
+	return nil
+}
+
+// Proxy returns the proxy before a link that the plan selects.
+func (d *Deployment) Proxy(link Link) *interposer.Proxy {
+	return d.proxies[link]
+}
+
+// Domain returns the entries and agents of a failure domain.
+func (d *Deployment) Domain(name string) ([]*Entry, []*Agent) {
+	var entries []*Entry
+	var agents []*Agent
+	for _, e := range d.Entries {
+		if e.FailureDomain == name {
+			entries = append(entries, e)
+		}
+	}
+	for _, a := range d.Agents {
+		if a.FailureDomain == name {
+			agents = append(agents, a)
+		}
+	}
+	return entries, agents
+}
+
+// Stop stops all nodes gracefully, entries first so that agents can finish what entries sent, and then the stand-ins.
+func (d *Deployment) Stop(ctx context.Context) error {
+	var nodes, agents, standins []*Process
+	for _, e := range d.Entries {
+		nodes = append(nodes, e.Process)
+	}
+	for _, a := range d.Agents {
+		agents = append(agents, a.Process)
+		standins = append(standins, a.Standin.Process)
+	}
+	standins = append(standins, d.Platform.Process)
+	var failed error
+	for _, set := range [][]*Process{nodes, agents, standins} {
+		failed = errors.CombineErrors(failed, stopAll(ctx, set))
+	}
+	return failed
+}
+
+func stopAll(ctx context.Context, processes []*Process) error {
+	group := errgroup.Group{}
+	for _, p := range processes {
+		if p != nil && p.Running() {
+			group.Go(func() error { return p.Stop(ctx) })
+		}
+	}
+	return group.Wait()
+}
+
+// Close ends the proxies. The processes end with the launcher.
+func (d *Deployment) Close() {
+	for _, proxy := range d.proxies {
+		proxy.Close()
+	}
+}
--- a/internal/prover/launcher/launcher_test.go
+++ b/internal/prover/launcher/launcher_test.go
@@ -24,6 +24,7 @@
 	// roleVariable makes the test binary act as the program that the launcher starts.
 	roleVariable = "LAUNCHER_TEST_ROLE"
 	patience     = 10 * time.Second
+	absence      = 200 * time.Millisecond
 )
 
 func TestMain(m *testing.M) {
@@ -35,6 +36,8 @@
 	case "failing":
 		fmt.Println("settings are wrong")
 		os.Exit(3)
+	case "deployment":
+		actInDeployment(os.Args[1:])
 	case "parent":
 		startChildAndHang(os.Args[1])
 	}
@@ -187,7 +190,7 @@
 	l := newLauncher(t)
 	p, address := startServer(t, l)
 	require.NoError(t, p.Freeze())
-	require.False(t, answers(address, 200*time.Millisecond))
+	require.False(t, answers(address, absence))
 	require.NoError(t, p.Thaw())
 	require.True(t, answers(address, patience))
 	require.NoError(t, p.Freeze())
