--- a/internal/process/agentrunner/admission.go
+++ b/internal/process/agentrunner/admission.go
@@ -43,8 +43,9 @@
 func (m *admission) update(step func(now time.Time, g *granter.Granter) []granter.Issue) {
 	m.mu.Lock()
 	issues := step(time.Now(), m.granter)
-	limit, changed := m.granter.Load().Limit, false
-	changed, m.limit = limit != m.limit, limit
+	limit := m.granter.Load().Limit
+	changed := limit != m.limit
+	m.limit = limit
 	cause := m.granter.ColdReason()
 	m.mu.Unlock()
 	if changed {
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -18,7 +18,6 @@
 	"currantledge.example/currantledge/internal/connection/listener"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/connection/storer"
-	"currantledge.example/currantledge/internal/process/adapter"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/process/logger"
@@ -97,7 +96,7 @@
 	a.admission = newAdmission(a)
 	a.upstream = newUpstream(a)
 	a.claims = claimer.New(claimer.Config{
-		Table: adapter.Claims(a.platform), Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
+		Table: a.platform, Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
 	})
 	a.distributor = distributor.New(distributor.Config{Store: a.store, Log: a.log, Adopted: a.adopted})
 	a.peers = dialer.New(dialer.Config{Link: a.linkConfig(), Log: a.log, Serve: a.servePeer})
--- a/internal/process/entryrunner/callers.go
+++ b/internal/process/entryrunner/callers.go
@@ -86,7 +86,7 @@
 // model serves a model endpoint.
 func (e *Entry) model(endpoint translator.Endpoint) iris.Handler {
 	return func(ctx iris.Context) {
-		w, r := ctx.ResponseWriter().Naive(), ctx.Request()
+		w, r := ctx.ResponseWriter(), ctx.Request()
 		id := begin(w)
 		customer, err := e.customer(r)
 		if err != nil {
@@ -105,7 +105,7 @@
 
 // service serves calls of plain services.
 func (e *Entry) service(ctx iris.Context) {
-	w, r := ctx.ResponseWriter().Naive(), ctx.Request()
+	w, r := ctx.ResponseWriter(), ctx.Request()
 	id := begin(w)
 	customer, err := e.customer(r)
 	if err != nil {
--- a/internal/request/queuer/queuer_test.go
+++ b/internal/request/queuer/queuer_test.go
@@ -13,8 +13,8 @@
 
 var start = time.Unix(1000, 0)
 
-func waiter(customer identifier.Customer, candidates ...identifier.Upstream) queuer.Waiter {
-	return queuer.Waiter{Request: identifier.NewRequest(), Customer: customer, Candidates: candidates}
+func waiter(candidates ...identifier.Upstream) queuer.Waiter {
+	return queuer.Waiter{Request: identifier.NewRequest(), Customer: "a", Candidates: candidates}
 }
 
 func grant(customer identifier.Customer, credits identifier.Credits) messenger.Grant {
@@ -25,7 +25,7 @@
 func TestGrantBelongsToCustomer(t *testing.T) {
 	t.Parallel()
 	q := queuer.New()
-	require.Empty(t, q.Add(start, waiter("a", "u1")))
+	require.Empty(t, q.Add(start, waiter("u1")))
 	require.Empty(t, q.Grant(start, "u1", grant("b", 1)))
 	require.Len(t, q.Grant(start, "u1", grant("a", 1)), 1)
 }
@@ -34,7 +34,7 @@
 func TestGrantServesOldestFirst(t *testing.T) {
 	t.Parallel()
 	q := queuer.New()
-	first, second, third := waiter("a", "u1"), waiter("a", "u1"), waiter("a", "u1")
+	first, second, third := waiter("u1"), waiter("u1"), waiter("u1")
 	for _, w := range []queuer.Waiter{first, second, third} {
 		q.Add(start, w)
 	}
@@ -52,14 +52,14 @@
 	standing := grant("a", 1)
 	standing.Standing = true
 	q.Grant(start, "u1", standing)
-	require.Empty(t, q.Add(start.Add(950*time.Millisecond), waiter("a", "u1")))
+	require.Empty(t, q.Add(start.Add(950*time.Millisecond), waiter("u1")))
 }
 
 // Guards against credits that stay with an entry whose requests have gone elsewhere.
 func TestSurplusIsReturned(t *testing.T) {
 	t.Parallel()
 	q := queuer.New()
-	q.Add(start, waiter("a", "u1", "u2"))
+	q.Add(start, waiter("u1", "u2"))
 	require.Len(t, q.Grant(start, "u1", grant("a", 1)), 1)
 	require.Empty(t, q.Grant(start, "u2", grant("a", 3)))
 	returned := q.Surplus()
@@ -72,7 +72,7 @@
 func TestDemandWidens(t *testing.T) {
 	t.Parallel()
 	q := queuer.New()
-	q.Add(start, waiter("a", "u1", "u2", "u3", "u4", "u5"))
+	q.Add(start, waiter("u1", "u2", "u3", "u4", "u5"))
 	require.Len(t, q.DemandOn(start, "u2"), 1)
 	require.Empty(t, q.DemandOn(start, "u3"))
 	require.Len(t, q.DemandOn(start.Add(50*time.Millisecond), "u4"), 1)
@@ -88,5 +88,5 @@
 	standing.Standing = true
 	q.Grant(start, "u1", standing)
 	q.Drop("u1")
-	require.Empty(t, q.Add(start, waiter("a", "u1")))
+	require.Empty(t, q.Add(start, waiter("u1")))
 }
--- a/internal/version/configurer/store.go
+++ b/internal/version/configurer/store.go
@@ -163,3 +163,8 @@
 	}
 	return slices.Clone(log[len(log)-logLength:])
 }
+
+// Revision returns the revision of the current snapshot.
+func (s *Store) Revision() identifier.Revision {
+	return s.Snapshot().Revision
+}
