Count events through expvar

Cause: operators need metrics; every countable matter already has a numbered log event. Ruled out: separate counter calls beside the log calls, which drift apart. Change: package meter; the logger reports each event to it; gauges for open requests, revision, running, limit and credits. Conclusion: metrics follow the event catalogue.

--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -21,6 +21,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/process/supervisor"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/request/streamer"
@@ -81,10 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := meter.New()
 	a := &Agent{
 		settings: s,
 		log: logger.New(logger.Config{
 			Output: cfg.Output, Level: s.LogLevel, Node: s.Node, FailureDomain: s.FailureDomain,
+			Count: metrics.Count,
 		}),
 		incarnation: identifier.NewIncarnation(time.Now()),
 		credentials: credentials,
@@ -100,9 +103,18 @@
 	})
 	a.distributor = distributor.New(distributor.Config{Store: a.store, Log: a.log, Adopted: a.adopted})
 	a.peers = dialer.New(dialer.Config{Link: a.linkConfig(), Log: a.log, Serve: a.servePeer})
+	a.publish(metrics)
 	return a, nil
 }
 
+// publish sets the gauges.
+func (a *Agent) publish(m *meter.Meter) {
+	m.Gauge(meter.ConfigRevision, func() int64 { return int64(a.store.Revision()) })
+	m.Gauge(meter.UpstreamRunning, func() int64 { return int64(a.admission.load().Running) })
+	m.Gauge(meter.UpstreamLimit, func() int64 { return int64(a.admission.load().Limit) })
+	m.Gauge(meter.CreditsGranted, func() int64 { return int64(a.admission.load().Granted) })
+}
+
 func (a *Agent) linkConfig() linker.Config {
 	return linker.Config{Credentials: a.credentials, Hello: a.hello, Heartbeat: a.heartbeat}
 }
@@ -233,6 +245,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		})
+		mux.Handle("/debug/vars", meter.Handler())
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -22,6 +22,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/process/registrar"
 	"currantledge.example/currantledge/internal/process/supervisor"
 	"currantledge.example/currantledge/internal/request/quarantiner"
@@ -81,10 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := meter.New()
 	e := &Entry{
 		settings: s,
 		log: logger.New(logger.Config{
 			Output: cfg.Output, Level: s.LogLevel, Node: s.Node, FailureDomain: s.FailureDomain,
+			Count: metrics.Count,
 		}),
 		incarnation: identifier.NewIncarnation(time.Now()),
 		store:       configurer.New(),
@@ -103,6 +106,8 @@
 	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat}
 	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveAgent})
 	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveEntry})
+	metrics.Gauge(meter.RequestsOpen, func() int64 { return int64(e.dispatcher.Open()) })
+	metrics.Gauge(meter.ConfigRevision, func() int64 { return int64(e.store.Revision()) })
 	e.http, err = newCallers(e)
 	return e, err
 }
--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -18,6 +18,8 @@
 	FailureDomain identifier.FailureDomain
 	// Decisions is the number of recent decisions kept for explain.
 	Decisions int
+	// Count is called with each event, whether or not its level is written.
+	Count func(Event)
 }
 
 const defaultDecisions = 4096
@@ -27,6 +29,7 @@
 	zero      zerolog.Logger
 	node      identifier.Node
 	decisions *ring
+	count     func(Event)
 }
 
 // New returns a logger.
@@ -34,10 +37,13 @@
 	if cfg.Decisions == 0 {
 		cfg.Decisions = defaultDecisions
 	}
+	if cfg.Count == nil {
+		cfg.Count = func(Event) {}
+	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	zero := zerolog.New(cfg.Output).Level(cfg.Level).With().Timestamp().
 		Str("node", string(cfg.Node)).Str("failureDomain", string(cfg.FailureDomain)).Logger()
-	return &Logger{zero: zero, node: cfg.Node, decisions: newRing(cfg.Decisions)}
+	return &Logger{zero: zero, node: cfg.Node, decisions: newRing(cfg.Decisions), count: cfg.Count}
 }
 
 // Discard returns a logger that writes nothing but keeps decisions.
@@ -48,6 +54,7 @@
 // Event starts the log line of a numbered event at the event's level; the caller adds fields and calls Send.
 func (l *Logger) Event(e Event) *zerolog.Event {
 	entry := catalogue[e]
+	l.count(e)
 	return l.zero.WithLevel(entry.level).Int("event", int(e)).Str("message", entry.message)
 }
 
