Stand-ins: lock-step ranks, orders, prefix and KV cache, tests of faults and cold start

Cause: placement, map switching and at-most-once need stand-ins that keep a step barrier, answer orders and fail as the real systems may. Ruled out: a barrier that waits for a rank whose process is gone, because one crash would stall its whole group; a restarted rank that steps with its first map, because it would mix maps, so it joins only with the group's map. Change: coordinator and ranks, prepareMap and decideMap, fencing, models and roles, prefix cache with late events and gaps, KV export and import, an overload limit of the service, tests of platform faults, cold start and groups.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -105,6 +105,20 @@
 	Queue          int           `long:"queue" description:"bound of waiting requests when batch is set"`
 	ReportLag      time.Duration `long:"report-lag" default:"300ms" description:"age of reports, negative for none"`
 	Models         []string      `long:"model" description:"loaded model, repeatable; without any the engine serves every model"`
+	Role           string        `long:"role" description:"what the engine does"`
+	CheckFence     bool          `long:"check-fence" description:"refuse orders with an old fencing number"`
+	CachePrefixes  int           `long:"cache-prefixes" default:"64" description:"size of the prefix cache, negative for none"`
+	EventDelay     time.Duration `long:"event-delay" default:"500ms" description:"delay of cache events, negative for none"`
+	EventGap       float64       `long:"event-gap" default:"0.05" description:"probability that a cache event is lost"`
+	Seed           int64         `long:"seed" default:"1" description:"seed of gaps"`
+	GroupSize      int           `long:"group-size" description:"number of ranks in lock-step, 0 to step alone"`
+	Rank           int           `long:"rank" description:"position in the group"`
+	Coordinator    string        `long:"coordinator" description:"loopback IP:port at which rank 0 coordinates the steps"`
+	Experts        int           `long:"experts" default:"64" description:"number of experts"`
+	PerToken       time.Duration `long:"per-token" default:"500us" description:"what a token at a rank's experts adds to a step"`
+	Skew           float64       `long:"skew" default:"0.6" description:"exponent of the popularity of experts"`
+	DriftSteps     int           `long:"drift-steps" description:"steps in which popularity shifts by one expert, 0 for none"`
+	GroupSeed      int64         `long:"group-seed" default:"1" description:"seed of the popularity, the same on all ranks"`
 }
 
 // Execute runs the command.
@@ -113,11 +127,21 @@
 	if err != nil {
 		return err
 	}
+	if c.Coordinator != "" {
+		if err := checkLoopback(c.Coordinator); err != nil {
+			return err
+		}
+	}
 	server, err := engineserver.New(engineserver.Config{
 		Simulator: sim,
 		StepBase:  c.StepBase, StepPerRequest: c.StepPerRequest,
 		Batch: c.Batch, Queue: c.Queue,
-		ReportLag: c.ReportLag, Models: c.Models,
+		ReportLag: c.ReportLag, Models: c.Models, Role: c.Role, CheckFence: c.CheckFence,
+		CachePrefixes: c.CachePrefixes, EventDelay: c.EventDelay, EventGap: c.EventGap, Seed: c.Seed,
+		Group: engineserver.GroupConfig{
+			Size: c.GroupSize, Rank: c.Rank, Coordinator: c.Coordinator, Experts: c.Experts,
+			PerToken: c.PerToken, Skew: c.Skew, DriftSteps: c.DriftSteps, Seed: c.GroupSeed,
+		},
 	})
 	if err != nil {
 		return err
@@ -129,6 +153,7 @@
 	ctx context.Context
 	upstreamOptions
 	Latency time.Duration `long:"latency" default:"20ms" description:"duration of a call, negative for none"`
+	Limit   int           `long:"limit" description:"running calls above which the service answers 503, 0 for none"`
 }
 
 // Execute runs the command.
@@ -137,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := serviceserver.New(serviceserver.Config{Simulator: sim, Latency: c.Latency})
+	server, err := serviceserver.New(serviceserver.Config{Simulator: sim, Latency: c.Latency, Limit: c.Limit})
 	if err != nil {
 		return err
 	}
--- a/internal/connection/driver/service_test.go
+++ b/internal/connection/driver/service_test.go
@@ -146,3 +146,27 @@
 	<-served
 	require.NoError(t, listener.Close())
 }
+
+// Guards against an overload of a service that is reported as possibly run, and against one that is counted as run.
+func TestCallOverloaded(t *testing.T) {
+	t.Parallel()
+	service, base := startService(t, serviceserver.Config{Latency: time.Hour, Limit: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		emit, _ := collect()
+		ended <- service.Call(ctx, serviceCall("/reserve", "k1"), ignoreHead, emit)
+	}()
+	require.Eventually(t, func() bool { return len(record(t, base).Calls) == 1 }, 10*time.Second, time.Millisecond)
+	emit, _ := collect()
+	err := service.Call(t.Context(), serviceCall("/reserve", "k2"), ignoreHead, emit)
+	var refused *driver.NotStartedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, messenger.ReasonOverloaded, refused.Reason)
+	require.Equal(t, simulator.OutcomeRefused, record(t, base).Calls[1].Outcome)
+	report, err := service.Report(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 1, report.Running)
+	cancel()
+	require.Error(t, <-ended)
+}
--- a/internal/connection/storer/storer_test.go
+++ b/internal/connection/storer/storer_test.go
@@ -14,14 +14,11 @@
 	"currantledge.example/currantledge/internal/standin/platformserver"
 )
 
-const (
-	testTimeout = 300 * time.Millisecond
-	weightRate  = 1 << 20
-)
+const testTimeout = 300 * time.Millisecond
 
 func start(t *testing.T) (*storer.Client, string) {
 	t.Helper()
-	server, err := platformserver.New(platformserver.Config{Address: "127.0.0.1:0", WeightRate: weightRate})
+	server, err := platformserver.New(platformserver.Config{Address: "127.0.0.1:0"})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
--- /dev/null
+++ b/internal/standin/engineserver/cache.go
@@ -0,0 +1,111 @@
+package engineserver
+
+import (
+	"math/rand"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"currantledge.example/currantledge/internal/standin/responder"
+)
+
+// maxCacheEvents bounds the events that are kept; older ones are lost, as in an engine.
+const maxCacheEvents = 4096
+
+type (
+	wireCacheEvent struct {
+		Sequence uint64 `json:"sequence"`
+		Prefix   string `json:"prefix"`
+		Added    bool   `json:"added"`
+	}
+	wireCacheEvents struct {
+		Events []wireCacheEvent `json:"events"`
+		Next   uint64           `json:"next"`
+	}
+)
+
+type cacheEvent struct {
+	wireCacheEvent
+	at   time.Time
+	lost bool
+}
+
+// prefixCache holds the most recently used prefixes and publishes its changes late and with gaps.
+type prefixCache struct {
+	size   int
+	delay  time.Duration
+	gap    float64
+	random *rand.Rand
+	// prefixes are in order of use, the most recent last.
+	prefixes []string
+	events   []cacheEvent
+	sequence uint64
+}
+
+func newPrefixCache(cfg Config) *prefixCache {
+	return &prefixCache{
+		size:   cfg.CachePrefixes,
+		delay:  cfg.EventDelay,
+		gap:    cfg.EventGap,
+		random: rand.New(rand.NewSource(cfg.Seed)),
+	}
+}
+
+// use marks a prefix as used and tells whether the cache held it.
+func (c *prefixCache) use(prefix string) bool {
+	if prefix == "" || c.size <= 0 {
+		return false
+	}
+	i := slices.Index(c.prefixes, prefix)
+	if i >= 0 {
+		c.prefixes = append(slices.Delete(c.prefixes, i, i+1), prefix)
+		return true
+	}
+	if len(c.prefixes) >= c.size {
+		c.publish(c.prefixes[0], false)
+		c.prefixes = slices.Delete(c.prefixes, 0, 1)
+	}
+	c.prefixes = append(c.prefixes, prefix)
+	c.publish(prefix, true)
+	return false
+}
+
+func (c *prefixCache) publish(prefix string, added bool) {
+	c.sequence++
+	c.events = append(c.events, cacheEvent{
+		wireCacheEvent: wireCacheEvent{Sequence: c.sequence, Prefix: prefix, Added: added},
+		at:             time.Now(),
+		lost:           c.random.Float64() < c.gap,
+	})
+	if len(c.events) > maxCacheEvents {
+		c.events = slices.Delete(c.events, 0, 1)
+	}
+}
+
+// after returns the published events after a sequence number.
+func (c *prefixCache) after(sequence uint64) wireCacheEvents {
+	out := wireCacheEvents{Events: []wireCacheEvent{}, Next: sequence}
+	for _, e := range c.events {
+		if e.Sequence <= sequence || time.Since(e.at) < c.delay {
+			continue
+		}
+		out.Next = e.Sequence
+		if !e.lost {
+			out.Events = append(out.Events, e.wireCacheEvent)
+		}
+	}
+	return out
+}
+
+func (e *engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		responder.Fail(w, http.StatusBadRequest, "malformed")
+		return
+	}
+	e.mu.Lock()
+	events := e.cache.after(after)
+	e.mu.Unlock()
+	responder.JSON(w, http.StatusOK, events)
+}
--- a/internal/standin/engineserver/engine.go
+++ b/internal/standin/engineserver/engine.go
@@ -26,6 +26,15 @@
 	// step is the last step run and stepTime the engine's own part of it.
 	step     identifier.Step
 	stepTime time.Duration
+	fence    uint64
+	maps     mapState
+	models   *modelSet
+	role     string
+	cache    *prefixCache
+	kv       *kvStore
+	// expertTokens counts, by expert, the tokens that this rank has processed in this life.
+	expertTokens []float64
+	popularity   *popularity
 }
 
 func newEngine(s *Server, life *simulator.Life) *engine {
@@ -34,6 +43,17 @@
 		sim:  s.simulator,
 		life: life,
 		wake: make(chan struct{}, 1),
+		maps: mapState{
+			byRank: initialMap(s.cfg.Group.Size, s.cfg.Group.Experts),
+			// A rank that has not joined its group takes no part in steps; an engine that steps alone has no group to join.
+			outside: s.cfg.Group.grouped(),
+		},
+		models:       newModelSet(s.cfg.Models),
+		role:         s.cfg.Role,
+		cache:        newPrefixCache(s.cfg),
+		kv:           newKVStore(),
+		expertTokens: make([]float64, s.cfg.Group.Experts),
+		popularity:   s.popularity,
 	}
 	e.reports = newReporter(life.Context(), s.cfg.ReportLag, e.state)
 	return e
@@ -47,11 +67,20 @@
 	}
 }
 
-// run runs steps while there is work.
+// run runs steps until the life ends.
 func (e *engine) run() {
+	if e.cfg.Group.grouped() {
+		e.runGroup()
+		return
+	}
+	e.runAlone()
+}
+
+// runAlone runs steps while there is work.
+func (e *engine) runAlone() {
 	ctx := e.life.Context()
 	for e.sim.AwaitStall(ctx) {
-		if e.idle() {
+		if !e.enterAlone() {
 			select {
 			case <-ctx.Done():
 				return
@@ -63,14 +92,28 @@
 		if !simulator.Pause(ctx, work) || !e.sim.AwaitStall(ctx) {
 			return
 		}
-		e.advance(work)
+		e.advance(e.nextStep(), work)
 	}
 }
 
-func (e *engine) idle() bool {
+func (e *engine) nextStep() identifier.Step {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.step + 1
+}
+
+// enterAlone tells whether the engine runs a step now. An idle engine puts a decided map in force at once, because it
+// may never reach the switch step.
+func (e *engine) enterAlone() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.running) == 0
+	idle := len(e.running) == 0
+	step := e.step + 1
+	if idle && e.maps.open != nil && e.maps.open.committed {
+		step = max(step, e.maps.open.switchStep)
+		e.step = step - 1
+	}
+	return e.maps.enter(step, e.maps.version) && !idle
 }
 
 func (e *engine) work() time.Duration {
@@ -82,10 +125,10 @@
 }
 
 // advance ends a step: every running request that has been prefilled gets a token.
-func (e *engine) advance(work time.Duration) {
+func (e *engine) advance(step identifier.Step, work time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.step++
+	e.step = step
 	e.stepTime = work
 	still := e.running[:0]
 	for _, g := range e.running {
@@ -103,6 +146,7 @@
 // endLocked tells the handler of a request that has left running how it ended.
 func (e *engine) endLocked(g *generation, outcome simulator.Outcome) {
 	if g.started {
+		e.kv.keep(g.in.Request, g.kv())
 		e.life.Finish(outcome == simulator.OutcomeComplete)
 	}
 	g.end(outcome)
@@ -142,6 +186,8 @@
 
 func (e *engine) startLocked(g *generation) {
 	g.started = true
+	g.prefixHit = e.cache.use(g.in.Prefix)
+	g.shortenPrefill(e.kv.covered(g.seed))
 	e.life.Start()
 	if g.crashes {
 		time.AfterFunc(crashDelay, e.life.Crash)
--- a/internal/standin/engineserver/generation.go
+++ b/internal/standin/engineserver/generation.go
@@ -14,6 +14,8 @@
 	crashMark = "crash-engine"
 	// charactersPerToken estimates the tokens of a prompt.
 	charactersPerToken = 4
+	// prefixSaving divides the prefill of a request whose prefix is in the cache.
+	prefixSaving = 4
 )
 
 type (
@@ -50,9 +52,12 @@
 	partial int
 	// prefill is the number of steps before the one that generates the first token.
 	prefill int
-	arrival int
-	started bool
-	crashes bool
+	// promptTokens counts the prompt and the text to continue.
+	promptTokens int
+	prefixHit    bool
+	arrival      int
+	started      bool
+	crashes      bool
 
 	// tokens carries the indexes of generated tokens; it has room for all, so that a slow reader delays no step.
 	tokens  chan int
@@ -68,18 +73,34 @@
 	}
 	promptTokens := (len(in.Prompt) + generated) / charactersPerToken
 	return &generation{
-		in:      in,
-		seed:    answerSeed(identifier.Digest(in.Customer), []byte(in.Prompt)),
-		from:    from,
-		next:    from,
-		total:   total,
-		partial: generated % TokenBytes,
-		prefill: promptTokens / prefillTokens,
-		crashes: bytes.Contains([]byte(in.Prompt), []byte(crashMark)),
-		tokens:  make(chan int, max(total-from, 0)),
+		in:           in,
+		seed:         answerSeed(identifier.Digest(in.Customer), []byte(in.Prompt)),
+		from:         from,
+		next:         from,
+		total:        total,
+		partial:      generated % TokenBytes,
+		prefill:      promptTokens / prefillTokens,
+		promptTokens: promptTokens,
+		crashes:      bytes.Contains([]byte(in.Prompt), []byte(crashMark)),
+		tokens:       make(chan int, max(total-from, 0)),
 	}
 }
 
+// shortenPrefill spares the steps for what the prefix cache or an imported KV cache already holds.
+func (g *generation) shortenPrefill(imported int) {
+	if g.prefixHit {
+		g.prefill /= prefixSaving
+	}
+	if imported >= g.promptTokens {
+		g.prefill = 0
+	}
+}
+
+// kv returns the KV cache of the prompt and the tokens so far.
+func (g *generation) kv() kvEntry {
+	return kvEntry{seed: g.seed, tokens: g.promptTokens + g.next - g.from}
+}
+
 // wrongPrefix tells that the text to continue is not the start of the answer.
 func (g *generation) wrongPrefix() bool {
 	expected := Answer(identifier.Digest(g.in.Customer), []byte(g.in.Prompt), g.from+1)
@@ -126,6 +147,10 @@
 	if !responder.Decode(w, r, &in) {
 		return
 	}
+	if !e.serves(in) {
+		responder.Fail(w, http.StatusNotFound, "unknownModel")
+		return
+	}
 	g := newGeneration(in, e.cfg.PrefillTokens)
 	call := e.life.Open(simulator.Call{
 		Request:     in.Request,
@@ -134,11 +159,11 @@
 		WrongPrefix: g.wrongPrefix(),
 	})
 	if !e.sim.AwaitStall(r.Context()) {
-		call.Close(e.endOutcome(), 0)
+		call.Close(simulator.Result{Outcome: e.endOutcome()})
 		panic(http.ErrAbortHandler)
 	}
 	if !e.submit(g) {
-		call.Close(simulator.OutcomeRefused, 0)
+		call.Close(simulator.Result{Outcome: simulator.OutcomeRefused})
 		responder.Fail(w, http.StatusServiceUnavailable, "overloaded")
 		return
 	}
@@ -147,13 +172,19 @@
 	if e.life.Context().Err() != nil && outcome != simulator.OutcomeComplete {
 		outcome = simulator.OutcomeCrashed
 	}
-	call.Close(outcome, written)
+	call.Close(simulator.Result{Outcome: outcome, Tokens: written, PrefixHit: g.prefixHit})
 	if outcome != simulator.OutcomeComplete && outcome != simulator.OutcomeCancelled {
 		// Breaks the connection, so that the caller cannot take the text for a whole answer.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+func (e *engine) serves(in wireGeneration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models.serves(in.Model, in.Adapter)
+}
+
 func (e *engine) endOutcome() simulator.Outcome {
 	if e.life.Context().Err() != nil {
 		return simulator.OutcomeCrashed
--- a/internal/standin/engineserver/report.go
+++ b/internal/standin/engineserver/report.go
@@ -89,15 +89,28 @@
 func (e *engine) state() wireReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	experts := make([]int64, 0, len(e.expertTokens))
+	for _, n := range e.expertTokens {
+		experts = append(experts, int64(n))
+	}
+	tokens := 0
+	for _, g := range e.running {
+		tokens += g.kv().tokens
+	}
 	return wireReport{
-		Boot:       string(e.life.Boot),
-		Running:    len(e.running),
-		Waiting:    len(e.waiting),
-		Step:       uint64(e.step),
-		StepMicros: e.stepTime.Microseconds(),
-		Experts:    []int64{},
-		Models:     []wireModel{},
-		AsOf:       time.Now(),
+		Boot:        string(e.life.Boot),
+		Running:     len(e.running),
+		Waiting:     len(e.waiting),
+		Step:        uint64(e.step),
+		StepMicros:  e.stepTime.Microseconds(),
+		MapVersion:  uint64(e.maps.version),
+		PreparedMap: uint64(e.maps.prepared()),
+		Experts:     experts,
+		Models:      e.models.snapshot(),
+		Role:        e.role,
+		KVUsed:      int64(tokens) * kvBytesPerToken,
+		KVSize:      e.cfg.KVSize,
+		AsOf:        time.Now(),
 	}
 }
 
--- a/internal/standin/platformserver/vms.go
+++ b/internal/standin/platformserver/vms.go
@@ -10,6 +10,9 @@
 	"currantledge.example/currantledge/internal/standin/responder"
 )
 
+// burstsPerSecond bounds what the weight store delivers at once after a pause.
+const burstsPerSecond = 20
+
 type (
 	wireVM struct {
 		Name          string `json:"name"`
@@ -94,7 +97,8 @@
 type weights struct{ limiter *rate.Limiter }
 
 func newWeights(bytesPerSecond int64) *weights {
-	return &weights{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), int(bytesPerSecond))}
+	burst := max(1, bytesPerSecond/burstsPerSecond)
+	return &weights{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), int(burst))}
 }
 
 func (s *Server) fetchWeights(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/serviceserver/serviceserver.go
+++ b/internal/standin/serviceserver/serviceserver.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/standin/responder"
 	"currantledge.example/currantledge/internal/standin/simulator"
 )
@@ -28,6 +27,8 @@
 	Simulator simulator.Config
 	// Latency is the duration of a call; a negative value answers at once.
 	Latency time.Duration
+	// Limit is the number of running calls above which the service answers 503 before a start, 0 for none.
+	Limit int
 }
 
 // Server is a service stand-in.
@@ -104,23 +105,27 @@
 		return
 	}
 	path, key := r.URL.RequestURI(), r.Header.Get(headerKey)
+	if !life.StartWithin(s.cfg.Limit) {
+		call := life.Open(simulator.Call{Request: r.Header.Get(headerRequest), Method: r.Method, Path: path, Key: key})
+		call.Close(simulator.Result{Outcome: simulator.OutcomeRefused})
+		responder.Fail(w, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
 	execution := s.execute(key)
 	call := life.Open(simulator.Call{
 		Request:   r.Header.Get(headerRequest),
-		Customer:  identifier.Digest(""),
 		Method:    r.Method,
 		Path:      path,
 		Key:       key,
 		Execution: execution,
 	})
-	life.Start()
 	if !s.work(r.Context()) {
 		life.Finish(false)
-		call.Close(brokenOutcome(life), 0)
+		call.Close(simulator.Result{Outcome: brokenOutcome(life)})
 		panic(http.ErrAbortHandler)
 	}
 	life.Finish(true)
-	call.Close(simulator.OutcomeComplete, 0)
+	call.Close(simulator.Result{Outcome: simulator.OutcomeComplete})
 	w.Header().Set("Content-Type", "application/json")
 	// The peer may be gone; then nobody reads the answer.
 	_, _ = w.Write(answer(r.Method, path, body, execution))
--- a/internal/standin/simulator/life.go
+++ b/internal/standin/simulator/life.go
@@ -62,8 +62,15 @@
 
 // Start counts a request as running and lets the upstream fall over if that is more than it can bear.
 // The caller ends the request with Finish.
-func (l *Life) Start() {
+func (l *Life) Start() { l.StartWithin(0) }
+
+// StartWithin does the same unless limit requests run already; limit 0 sets no bound.
+func (l *Life) StartWithin(limit int) bool {
 	l.mu.Lock()
+	if limit > 0 && l.running >= limit {
+		l.mu.Unlock()
+		return false
+	}
 	l.running++
 	excess := l.running - l.bearable()
 	l.mu.Unlock()
@@ -71,6 +78,7 @@
 	if excess > 0 {
 		l.Crash()
 	}
+	return true
 }
 
 // Finish counts a request as no longer running.
--- a/internal/standin/simulator/record.go
+++ b/internal/standin/simulator/record.go
@@ -96,14 +96,22 @@
 	return &OpenCall{recorder: r, index: len(r.record.Calls) - 1}
 }
 
+// Result is what is known at the end of a call.
+type Result struct {
+	Outcome   Outcome
+	Tokens    int
+	PrefixHit bool
+}
+
 // Close records the end of the call.
-func (o *OpenCall) Close(outcome Outcome, tokens int) {
+func (o *OpenCall) Close(result Result) {
 	o.recorder.mu.Lock()
 	defer o.recorder.mu.Unlock()
 	call := &o.recorder.record.Calls[o.index]
 	call.End = time.Now()
-	call.Outcome = outcome
-	call.Tokens = tokens
+	call.Outcome = result.Outcome
+	call.Tokens = result.Tokens
+	call.PrefixHit = result.PrefixHit
 }
 
 func (r *recorder) excess(n int) {
