Examples of both deployments

Cause: operators start from examples, and the demo needs the settings of 7 entries and 19 agents. Ruled out: one settings file for each node, which makes 52 files that differ in a few lines. Change: examples/ke-central and examples/pl-central each hold entries, agents and resources. Before and after: no examples before. Conclusion: the examples pass validation and fit together.

--- /dev/null
+++ b/internal/version/declarer/examples_test.go
@@ -0,0 +1,84 @@
+package declarer_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/loader"
+	"currantledge.example/currantledge/internal/version/declarer"
+)
+
+var exampleKey = regexp.MustCompile(`// Example key: (example-\S+)`)
+
+// Guards against examples that do not pass validation or do not fit together.
+func TestExamples(t *testing.T) {
+	t.Parallel()
+	for _, deployment := range []string{"ke-central", "pl-central"} {
+		directory := filepath.Join("..", "..", "..", "examples", deployment)
+		entries, err := loader.LoadEntries(filepath.Join(directory, "entries.hujson"))
+		require.NoError(t, err)
+		require.Len(t, entries, 7)
+		agents, err := loader.LoadAgents(filepath.Join(directory, "agents.hujson"))
+		require.NoError(t, err)
+		require.Len(t, agents, 19)
+		path := filepath.Join(directory, "resources.hujson")
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		resources, err := declarer.DecodeFile(path, text)
+		require.NoError(t, err)
+
+		upstreams := map[string]declarer.Upstream{}
+		count := map[declarer.Kind]int{}
+		for _, r := range resources {
+			count[r.Kind()]++
+			if u, ok := r.(declarer.Upstream); ok {
+				upstreams[u.Identity()] = u
+			}
+		}
+		require.Equal(t, map[declarer.Kind]int{
+			declarer.KindFailureDomains: 3, declarer.KindModelGroups: 1, declarer.KindServices: 1,
+			declarer.KindUpstreams: 19, declarer.KindCustomers: 10,
+		}, count)
+		fleet := map[string]bool{}
+		for _, e := range entries {
+			require.False(t, fleet[e.Advertise])
+			fleet[e.Advertise] = true
+		}
+		for _, a := range agents {
+			u := upstreams[string(a.Upstream)]
+			require.Equal(t, u.Address, a.Advertise)
+			require.Equal(t, u.FailureDomain, a.FailureDomain)
+			require.Equal(t, u.Service != "", a.UpstreamKind == loader.UpstreamService)
+			for _, p := range a.Peers {
+				require.True(t, fleet[p], p)
+			}
+		}
+	}
+}
+
+// Guards against a digest in the examples that is not that of the key in the comment above it.
+func TestExampleKeys(t *testing.T) {
+	t.Parallel()
+	for _, file := range []string{"entries.hujson", "resources.hujson"} {
+		paths, err := filepath.Glob(filepath.Join("..", "..", "..", "examples", "*", file))
+		require.NoError(t, err)
+		require.Len(t, paths, 2)
+		for _, path := range paths {
+			text, err := os.ReadFile(path)
+			require.NoError(t, err)
+			keys := exampleKey.FindAllStringSubmatch(string(text), -1)
+			digests := regexp.MustCompile(`[0-9a-f]{64}`).FindAllString(string(text), -1)
+			require.Len(t, keys, len(digests))
+			for i, key := range keys {
+				sum := sha256.Sum256([]byte(key[1]))
+				require.Equal(t, hex.EncodeToString(sum[:]), digests[i], path)
+			}
+		}
+	}
+}
