--- a/internal/version/configurer/writer.go
+++ b/internal/version/configurer/writer.go
@@ -57,7 +57,8 @@
 // MatchPresent requires that the resource exists.
 func MatchPresent() Match { return Match{mode: matchPresent} }
 
-func (m Match) holds(current identifier.Revision) bool {
+// Holds tells whether the condition holds for the current revision, which is 0 if the resource does not exist.
+func (m Match) Holds(current identifier.Revision) bool {
 	switch m.mode {
 	case matchRevision:
 		return current == m.revision
@@ -238,7 +239,7 @@
 		return nil, 0, err
 	}
 	current, currentRevision, exists := snapshot.Resource(in.kind, in.name)
-	if !in.match.holds(currentRevision) {
+	if !in.match.Holds(currentRevision) {
 		return nil, 0, &ConflictError{Kind: in.kind, Name: in.name, Current: currentRevision}
 	}
 	if in.resource == nil && !exists {
