Pass limits and the VM list to the stand-ins

Ruled out: stand-ins that bear more than the resources declare, which would hide an excess of load. Change: stand-ins bear exactly the declared limits. ListVMs sets the VM list with absent and leaving nodes. Control sends orders and faults to stand-ins.

--- a/internal/prover/launcher/deployment.go
+++ b/internal/prover/launcher/deployment.go
@@ -187,7 +187,7 @@
 		Upstream: Upstream{Name: fmt.Sprintf("%s-%02d", g.Name, rank), ModelGroup: g.Name, Rank: &rank},
 		kind:     "engine",
 	}
-	a.args = append(engineArgs(g), d.Plan.EngineArgs...)
+	a.args = append(limitArgs(g.Limits), d.Plan.EngineArgs...)
 	return d.layAgent(a, g.Limits)
 }
 
@@ -196,7 +196,7 @@
 		Upstream: Upstream{Name: fmt.Sprintf("%s-%d", s.Name, runner+1), Service: s.Name},
 		kind:     "service",
 	}
-	a.args = append(serviceArgs(s), d.Plan.ServiceArgs...)
+	a.args = append(limitArgs(s.Limits), d.Plan.ServiceArgs...)
 	return d.layAgent(a, s.Limits)
 }
 
@@ -296,8 +296,10 @@
 }
 
 func (d *Deployment) startPlatform(ctx context.Context) error {
-	args := append(d.platformArgs(), d.Plan.PlatformArgs...)
-	return d.startStandin(ctx, &d.Platform, "platform", platformReadyPath, args)
+	if err := d.startStandin(ctx, &d.Platform, "platform", platformReadyPath, d.Plan.PlatformArgs); err != nil {
+		return err
+	}
+	return d.ListVMs(ctx, nil, nil)
 }
 
 func (d *Deployment) startStandin(ctx context.Context, s *Standin, command, readyPath string, args []string) error {
@@ -526,6 +528,18 @@
 	return d.proxies[link]
 }
 
+// Nodes returns all entries and agents.
+func (d *Deployment) Nodes() []*Node {
+	var nodes []*Node
+	for _, e := range d.Entries {
+		nodes = append(nodes, &e.Node)
+	}
+	for _, a := range d.Agents {
+		nodes = append(nodes, &a.Node)
+	}
+	return nodes
+}
+
 // Domain returns the entries and agents of a failure domain.
 func (d *Deployment) Domain(name string) ([]*Entry, []*Agent) {
 	var entries []*Entry
--- a/internal/prover/launcher/deployment_test.go
+++ b/internal/prover/launcher/deployment_test.go
@@ -73,6 +73,8 @@
 			_ = json.NewEncoder(w).Encode(seen)
 		case r.URL.Path == "/api/v1/customers/impossible":
 			http.Error(w, "share must be positive", http.StatusUnprocessableEntity)
+		case r.Method == http.MethodPost:
+			seen = append(seen, r.URL.Path+" "+string(body))
 		case r.Method == http.MethodPut && r.Header.Get("Authorization") == "":
 			w.WriteHeader(http.StatusUnauthorized)
 		case r.Method == http.MethodPut:
@@ -118,7 +120,12 @@
 
 func appliedResources(t *testing.T, e *launcher.Entry) []string {
 	t.Helper()
-	response, err := http.Get(e.OperatorsURL() + "/seen")
+	return seenAt(t, e.OperatorsURL())
+}
+
+func seenAt(t *testing.T, base string) []string {
+	t.Helper()
+	response, err := http.Get(base + "/seen")
 	require.NoError(t, err)
 	defer response.Body.Close()
 	var seen []string
@@ -187,6 +194,18 @@
 	require.True(t, answers(d.Entries[0].Callers, patience))
 }
 
+// Guards against a VM list that lacks live nodes or keeps gone ones.
+func TestListVMs(t *testing.T) {
+	_, d := deploy(t, smallPlan())
+	require.NoError(t, d.ListVMs(testContext(t), map[string]bool{"entry-1": true}, map[string]bool{"entry-2": true}))
+	seen := seenAt(t, d.Platform.URL())
+	require.Len(t, seen, 2)
+	require.Equal(t, 5, strings.Count(seen[0], `"state":"live"`))
+	require.NotContains(t, seen[1], "entry-1")
+	require.Contains(t, seen[1], `"name":"entry-2","address":"`+d.Entries[1].Fleet+`","failureDomain":"b","state":"leaving"`)
+	require.Error(t, d.Control(testContext(t), launcher.Standin{Address: "127.0.0.1:1"}, "/fault", nil))
+}
+
 // Guards against upstreams that all stand in one failure domain.
 func TestPlanOfKeCentral(t *testing.T) {
 	plan := launcher.KeCentral()
--- a/internal/prover/launcher/standins.go
+++ b/internal/prover/launcher/standins.go
@@ -1,5 +1,16 @@
 package launcher
 
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
 // Paths that the stand-ins answer once they are ready.
 const (
 	platformReadyPath = "/vms/v1/list"
@@ -7,14 +18,65 @@
 	serviceReadyPath  = "/report"
 )
 
-func (d *Deployment) platformArgs() []string {
-	return nil
+// limitArgs makes a stand-in bear exactly what the resource declares, so that any load above it shows.
+func limitArgs(limits Limits) []string {
+	return []string{
+		"--cold", strconv.Itoa(limits.Cold),
+		"--warm", strconv.Itoa(limits.Warm),
+		"--warm-after", strconv.Itoa(limits.WarmAfter),
+	}
 }
 
-func engineArgs(GroupPlan) []string {
-	return nil
+// vm is a line of the platform's VM list.
+type vm struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	State         string `json:"state"`
+}
+
+const (
+	vmLive    = "live"
+	vmLeaving = "leaving"
+)
+
+// ListVMs sets the platform's VM list: all nodes but the absent ones, with some of them leaving.
+func (d *Deployment) ListVMs(ctx context.Context, absent, leaving map[string]bool) error {
+	vms := []vm{}
+	for _, n := range d.Nodes() {
+		state := vmLive
+		if leaving[n.Name] {
+			state = vmLeaving
+		}
+		if !absent[n.Name] {
+			vms = append(vms, vm{Name: n.Name, Address: n.Advertised, FailureDomain: n.FailureDomain, State: state})
+		}
+	}
+	return d.Control(ctx, d.Platform, "/vms/v1/set", map[string]any{"vms": vms})
 }
 
-func serviceArgs(ServicePlan) []string {
+// Control sends an order to a stand-in, such as a fault to POST /fault of the platform or POST /control of an upstream.
+func (d *Deployment) Control(ctx context.Context, s Standin, path string, order any) error {
+	raw, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrapf(err, "encode the order to %s", s.Name)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL()+path, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrapf(err, "order to %s", s.Name)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := d.client.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "order to %s", s.Name)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrapf(err, "read the answer of %s", s.Name)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("order to %s%s: %s: %s", s.Name, path, response.Status, answer)
+	}
 	return nil
 }
