Add the demo and subcommands of prover

Cause: make demo shows one deployment under load while a failure domain leaves and returns. Ruled out: a closed loop of callers, which would slow down with the system and hide refusals. Change: internal/prover/demonstrator starts ke-central, sends a morning and an evening load at random times from a seed, takes a failure domain out and returns it, stops all processes, and prints progress and the counts. A balancer polls /readyz as the platform's balancer does. cmd/prover has the subcommands test and demo. Before and after: no demo before.

--- a/cmd/prover/main.go
+++ b/cmd/prover/main.go
@@ -1,4 +1,4 @@
-// Command prover runs the project's tests, demo, fault matrix and bench.
+// Command prover runs the project's tests and demo.
 package main
 
 import (
@@ -8,7 +8,8 @@
 	"os/signal"
 	"syscall"
 
-	"currantledge.example/currantledge/internal/prover/testrunner"
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 )
 
 func main() {
@@ -18,20 +19,20 @@
 func execute(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, args); err != nil {
+	parser, err := newParser(ctx)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "prover:", err)
 		return 1
 	}
-	return 0
-}
-
-func run(ctx context.Context, args []string) error {
-	if len(args) < 1 || args[0] != "test" {
-		return fmt.Errorf("unknown command; use: prover test [--] ARGS")
+	_, err = parser.ParseArgs(args)
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(os.Stdout, usage.Message)
+		return 0
 	}
-	args = args[1:]
-	if len(args) > 0 && args[0] == "--" {
-		args = args[1:]
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "prover:", err)
+		return 1
 	}
-	return testrunner.Run(ctx, testrunner.Config{Args: args, KnownRed: "KNOWN-RED.txt", Output: os.Stdout})
+	return 0
 }
--- /dev/null
+++ b/internal/prover/demonstrator/balancer.go
@@ -0,0 +1,105 @@
+package demonstrator
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantledge.example/currantledge/internal/prover/launcher"
+)
+
+const (
+	healthInterval = 250 * time.Millisecond
+	healthTimeout  = time.Second
+)
+
+// balancer stands for the platform's balancer in front of the entries: it polls /readyz and spreads requests over the
+// entries that are ready, in turn.
+type balancer struct {
+	entries []*launcher.Entry
+	client  *http.Client
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu    sync.Mutex
+	ready []string
+	next  int
+}
+
+// newBalancer returns a balancer that takes all entries for ready until the first poll.
+func newBalancer(entries []*launcher.Entry) *balancer {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &balancer{
+		entries: entries,
+		client:  &http.Client{Timeout: healthTimeout, Transport: &http.Transport{}},
+		cancel:  cancel,
+	}
+	for _, e := range entries {
+		b.ready = append(b.ready, e.CallersURL())
+	}
+	b.wait.Go(func() { b.watch(ctx) })
+	return b
+}
+
+func (b *balancer) close() {
+	b.cancel()
+	b.wait.Wait()
+	b.client.CloseIdleConnections()
+}
+
+func (b *balancer) watch(ctx context.Context) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.poll(ctx)
+		}
+	}
+}
+
+// poll keeps the earlier entries if none is ready, since requests must go somewhere.
+func (b *balancer) poll(ctx context.Context) {
+	ready := make([]bool, len(b.entries))
+	var polls sync.WaitGroup
+	for i, e := range b.entries {
+		polls.Go(func() { ready[i] = b.isReady(ctx, e) })
+	}
+	polls.Wait()
+	var urls []string
+	for i, e := range b.entries {
+		if ready[i] {
+			urls = append(urls, e.CallersURL())
+		}
+	}
+	if len(urls) == 0 || ctx.Err() != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = urls
+}
+
+func (b *balancer) isReady(ctx context.Context, e *launcher.Entry) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.CallersURL()+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// pick returns the base URL of the next ready entry.
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.ready[b.next%len(b.ready)]
+}
--- /dev/null
+++ b/internal/prover/demonstrator/load.go
@@ -0,0 +1,191 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"currantledge.example/currantledge/internal/prover/launcher"
+	"currantledge.example/currantledge/internal/prover/recorder"
+)
+
+// mix describes a load.
+type mix struct {
+	name string
+	// modelRate and serviceRate are requests per second.
+	modelRate   float64
+	serviceRate float64
+	// minTokens and maxTokens bound the length of the answers.
+	minTokens int
+	maxTokens int
+}
+
+var (
+	morning = mix{name: "morning", modelRate: 40, serviceRate: 20, minTokens: 8, maxTokens: 32}
+	evening = mix{name: "evening", modelRate: 6, serviceRate: 10, minTokens: 200, maxTokens: 500}
+)
+
+// The parts of the load, out of 100.
+const (
+	chatPart    = 70
+	wholePart   = 10
+	stockPart   = 50
+	paymentPart = 20
+	keylessPart = 10
+	// resendPart is the part of keyed calls that their callers send twice.
+	resendPart = 25
+)
+
+// loadConfig holds what a load needs.
+type loadConfig struct {
+	Plan launcher.Plan
+	Seed uint64
+	Log  *recorder.Log
+	// Pick returns the base URL of an entry.
+	Pick func() string
+}
+
+// load sends requests at random times, whether or not earlier ones are answered.
+type load struct {
+	cfg    loadConfig
+	caller *recorder.Caller
+	random *rand.Rand
+	shares float64
+	number int
+	calls  sync.WaitGroup
+	sent   atomic.Int64
+	open   atomic.Int64
+}
+
+func newLoad(cfg loadConfig) *load {
+	l := &load{
+		cfg:    cfg,
+		caller: recorder.NewCaller(cfg.Log),
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+	for _, c := range cfg.Plan.Customers {
+		l.shares += c.Share
+	}
+	return l
+}
+
+func (l *load) close() {
+	l.wait()
+	l.caller.Close()
+}
+
+// wait returns when no request is open.
+func (l *load) wait() {
+	l.calls.Wait()
+}
+
+func (l *load) counts() (sent, open int64) {
+	return l.sent.Load(), l.open.Load()
+}
+
+// run sends a load for a time. Its last requests may still be open then.
+func (l *load) run(ctx context.Context, m mix, period time.Duration) {
+	end := time.NewTimer(period)
+	defer end.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
+			return
+		case <-next.C:
+			l.send(ctx, m)
+			pause := l.random.ExpFloat64() / (m.modelRate + m.serviceRate)
+			next.Reset(time.Duration(pause * float64(time.Second)))
+		}
+	}
+}
+
+// send starts one request of a random kind. All random decisions are made here, in one order.
+func (l *load) send(ctx context.Context, m mix) {
+	l.number++
+	customer := l.customer()
+	if l.random.Float64()*(m.modelRate+m.serviceRate) < m.modelRate {
+		request := l.modelRequest(m, customer)
+		l.start(func() { l.caller.Ask(ctx, l.cfg.Pick(), request) })
+		return
+	}
+	call := l.serviceCall(customer)
+	resend := call.Key != "" && l.happens(resendPart)
+	l.start(func() { l.caller.Call(ctx, l.cfg.Pick(), call) })
+	if resend {
+		l.start(func() { l.caller.Call(ctx, l.cfg.Pick(), call) })
+	}
+}
+
+func (l *load) start(request func()) {
+	l.sent.Add(1)
+	l.open.Add(1)
+	l.calls.Go(func() {
+		defer l.open.Add(-1)
+		request()
+	})
+}
+
+func (l *load) happens(part int) bool {
+	return l.random.IntN(100) < part
+}
+
+// customer returns a customer, each with a probability by share.
+func (l *load) customer() launcher.CustomerPlan {
+	customers := l.cfg.Plan.Customers
+	at := l.random.Float64() * l.shares
+	for _, c := range customers {
+		at -= c.Share
+		if at < 0 {
+			return c
+		}
+	}
+	return customers[len(customers)-1]
+}
+
+func (l *load) modelRequest(m mix, customer launcher.CustomerPlan) recorder.ModelRequest {
+	tokens := m.minTokens + l.random.IntN(m.maxTokens-m.minTokens+1)
+	endpoint := recorder.EndpointCompletion
+	if l.happens(chatPart) {
+		endpoint = recorder.EndpointChat
+	}
+	group := l.cfg.Plan.Groups[l.random.IntN(len(l.cfg.Plan.Groups))]
+	return recorder.ModelRequest{
+		Customer:  customer.Name,
+		Bearer:    customer.Key,
+		Endpoint:  endpoint,
+		Model:     group.Model,
+		Prompt:    fmt.Sprintf("%s question %d, answer with tokens=%d", m.name, l.number, tokens),
+		MaxTokens: tokens,
+		Stream:    !l.happens(wholePart),
+	}
+}
+
+// serviceCall returns a stock look-up, a reservation or a payment hold. Its path has a query that no other call has.
+func (l *load) serviceCall(customer launcher.CustomerPlan) recorder.ServiceCall {
+	service := l.cfg.Plan.Services[l.random.IntN(len(l.cfg.Plan.Services))]
+	call := recorder.ServiceCall{Customer: customer.Name, Bearer: customer.Key, Service: service.Name}
+	if l.happens(stockPart) {
+		call.Method = http.MethodGet
+		call.Path = fmt.Sprintf("/stock/item?call=%d", l.number)
+		call.Repeatable = true
+		return call
+	}
+	call.Method = http.MethodPost
+	call.Path = fmt.Sprintf("/orders?call=%d", l.number)
+	if l.happens(paymentPart) {
+		call.Path = fmt.Sprintf("/payments?call=%d", l.number)
+	}
+	call.Body = fmt.Appendf(nil, `{"order":%d}`, l.number)
+	if !l.happens(keylessPart) {
+		call.Key = fmt.Sprintf("call-%d", l.number)
+	}
+	return call
+}
--- a/internal/prover/launcher/plan.go
+++ b/internal/prover/launcher/plan.go
@@ -103,30 +103,42 @@
 	}
 }
 
+// Upstreams returns the number of upstreams, each of which has an agent.
+func (p *Plan) Upstreams() int {
+	upstreams := 0
+	for _, g := range p.Groups {
+		upstreams += g.Ranks
+	}
+	for _, s := range p.Services {
+		upstreams += s.Runners
+	}
+	return upstreams
+}
+
 // domain returns the failure domain of the node with an index.
 func (p *Plan) domain(index int) string {
 	return p.FailureDomains[index%len(p.FailureDomains)]
 }
 
 // KeCentral returns the plan of the deployment ke-central: 7 entries, 16 model runners and 3 service runners in three
-// failure domains, and 10 customers, three of them large.
+// failure domains, and 10 customers, three of them large. It has the sizes of examples/ke-central.
 func KeCentral() Plan {
 	p := Plan{
 		Region:         "ke-central",
 		FailureDomains: []string{"ke-central-a", "ke-central-b", "ke-central-c"},
 		Entries:        7,
 		Groups: []GroupPlan{{
-			Name:    "assistant",
-			Model:   "assistant",
+			Name:    "sindano",
+			Model:   "sindano-chat",
 			Ranks:   16,
 			Experts: 64,
-			Limits:  Limits{Cold: 2, Warm: 8, WarmAfter: 20},
+			Limits:  Limits{Cold: 2, Warm: 16, WarmAfter: 32},
 		}},
 		Services: []ServicePlan{{
 			Name:            "shop",
 			Runners:         3,
-			IdempotentPaths: []string{"/stock"},
-			Limits:          Limits{Cold: 4, Warm: 16, WarmAfter: 10},
+			IdempotentPaths: []string{"/stock/*"},
+			Limits:          Limits{Cold: 4, Warm: 32, WarmAfter: 32},
 		}},
 	}
 	shares := []float64{10, 8, 6, 2, 2, 1, 1, 1, 1, 1}
