Serve the operators' API and explain requests over all linked nodes

Cause: the first operators' API had only PUT; a request's decisions lie on its entry and its agents. Ruled out: shipping all decisions to one node, which costs traffic for requests that nobody asks about. Change: administrator in place of the first API; messages Explain and Explained; package explainer; new revisions are told to peers at once; make demo.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 	go run ./cmd/prover test -- -race -timeout 20m ./...
 
 check: lint build test
+
+demo: build
+	bin/prover demo
--- a/internal/connection/encoder/encoder.go
+++ b/internal/connection/encoder/encoder.go
@@ -51,6 +51,8 @@
 	tagEnd
 	tagBroken
 	tagClaimHeld
+	tagExplain
+	tagExplained
 )
 
 // Write sends one message as one frame.
@@ -133,6 +135,10 @@
 		return tagBroken, encodeBroken(m), nil
 	case messenger.ClaimHeld:
 		return tagClaimHeld, encodeClaimHeld(m), nil
+	case messenger.Explain:
+		return tagExplain, encodeExplain(m), nil
+	case messenger.Explained:
+		return tagExplained, encodeExplained(m), nil
 	}
 	return 0, nil, errors.AssertionFailedf("message %T has no wire form", m)
 }
@@ -179,6 +185,10 @@
 		return decodeAs(body, decodeBroken)
 	case tagClaimHeld:
 		return decodeAs(body, decodeClaimHeld)
+	case tagExplain:
+		return decodeAs(body, decodeExplain)
+	case tagExplained:
+		return decodeAs(body, decodeExplained)
 	}
 	return nil, &FrameError{Cause: "unknown message type"}
 }
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -256,6 +256,30 @@
 	}
 )
 
+type (
+	// Explain asks a node for its recent decisions on a request.
+	Explain struct{ Request identifier.Request }
+	// Explained answers Explain.
+	Explained struct{ Decisions []Decision }
+	// Field is a named detail of a decision.
+	Field struct {
+		Name  string
+		Value string
+	}
+	// Decision is one routing or placement decision of a node.
+	Decision struct {
+		Event   int
+		Time    time.Time
+		Node    identifier.Node
+		Request identifier.Request
+		Choice  string
+		Reason  string
+		Fields  []Field
+	}
+)
+
+func (Explain) message()     {}
+func (Explained) message()   {}
 func (Hello) message()       {}
 func (Heartbeat) message()   {}
 func (Demand) message()      {}
--- a/internal/process/agentrunner/streams.go
+++ b/internal/process/agentrunner/streams.go
@@ -6,6 +6,7 @@
 
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/explainer"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/streamer"
 )
@@ -26,6 +27,8 @@
 		a.attach(ctx, stream, m)
 	case messenger.Inquire:
 		a.inquire(ctx, stream, m)
+	case messenger.Explain:
+		explainer.Answer(stream, a.log, m)
 	default:
 		_ = stream.Send(messenger.Refused{Reason: messenger.ReasonMalformed})
 	}
--- a/internal/process/entryrunner/configuration.go
+++ b/internal/process/entryrunner/configuration.go
@@ -62,11 +62,20 @@
 	return interval/2 + rand.N(interval)
 }
 
-// adopted is called when a higher revision is in force.
-func (e *Entry) adopted() {
-	e.peers.refresh()
-	for _, m := range e.pool.Members() {
-		m.Link.Beat()
+// watchConfiguration tells peers and agents of each new revision at once until ctx ends.
+func (e *Entry) watchConfiguration(ctx context.Context) error {
+	told := e.store.Revision()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.store.Changed(told):
+		}
+		told = e.store.Revision()
+		e.peers.refresh()
+		for _, m := range e.pool.Members() {
+			m.Link.Beat()
+		}
 	}
 }
 
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -98,7 +98,7 @@
 	}
 	e.suspects = newSuspects(quarantiner.New(quarantiner.Config{}), e.spreadSuspicions)
 	e.writer = configurer.NewWriter(configurer.WriterConfig{Table: adapter.Configuration(e.platform), Store: e.store})
-	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log, Adopted: e.adopted})
+	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log})
 	e.dispatcher = streamer.New(streamer.Config{
 		Pool: e.pool, Log: e.log, Candidates: e.candidates, Suspect: e.suspects.crashes, Crashed: e.suspects.crashed,
 		Policy: policy(s.Routing),
@@ -146,7 +146,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for operators on %s; choose a free address", e.settings.Operators)
 	}
-	operatorAPI, err := e.newOperators()
+	operatorAPI, err := e.newOperators(operators)
 	if err != nil {
 		return err
 	}
@@ -158,7 +158,8 @@
 	group.Add(e.pollMachines)
 	group.Add(e.gossip)
 	group.Add(serveHTTP(callers, e.http))
-	group.Add(serveHTTP(operators, operatorAPI))
+	group.Add(operatorAPI.Run)
+	group.Add(e.watchConfiguration)
 	group.Add(func(partCtx context.Context) error { return e.awaitStop(ctx, partCtx) })
 	e.log.Event(logger.EventStarted).Str("callers", e.settings.Callers).Str("fleet", e.settings.Fleet).Send()
 	err = group.Run()
--- a/internal/process/entryrunner/links.go
+++ b/internal/process/entryrunner/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -54,6 +55,11 @@
 	delete(p.links, l)
 }
 
+// all returns every link.
+func (p *peers) all() []*linker.Link {
+	return p.some(math.MaxInt)
+}
+
 // some returns up to n links in random order.
 func (p *peers) some(n int) []*linker.Link {
 	p.mu.Lock()
@@ -232,6 +238,7 @@
 	}
 	e.peers.add(link)
 	defer e.peers.remove(link)
+	go e.serveStreams(ctx, link)
 	return link.Run(ctx, func(m messenger.Message) { e.handleAny(link, m) })
 }
 
--- a/internal/process/entryrunner/operators.go
+++ b/internal/process/entryrunner/operators.go
@@ -1,64 +1,111 @@
 package entryrunner
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
-	"io"
-	"net/http"
+	"context"
+	"net"
 	"strings"
+	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/kataras/iris/v12"
-
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/administrator"
+	"currantledge.example/currantledge/internal/process/explainer"
 	"currantledge.example/currantledge/internal/process/identifier"
-	"currantledge.example/currantledge/internal/version/configurer"
-	"currantledge.example/currantledge/internal/version/declarer"
 )
 
-// newOperators returns the handler of the operators' listener.
-func (e *Entry) newOperators() (http.Handler, error) {
-	app := iris.New()
-	app.Logger().SetLevel("disable")
-	app.Put("/api/v1/{kind:string}/{name:string}", e.operatorsOnly, e.putResource)
-	return app, errors.Wrap(app.Build(), "build the operators' API")
+const (
+	mapPrefix = "map/"
+	mapPage   = 256
+)
+
+// newOperators returns the operators' API on a listener.
+func (e *Entry) newOperators(l net.Listener) (*administrator.Administrator, error) {
+	return administrator.New(administrator.Config{
+		Listener: l, Node: e.settings.Node, KeyDigests: e.settings.OperatorKeyDigests, Store: e.store,
+		Writer: e.writer, Nodes: nodeList{e}, Maps: mapList{e}, Log: e.log,
+		Decisions: explainer.New(explainer.Config{Log: e.log, Links: e.allLinks}),
+	})
 }
 
-func (e *Entry) operatorsOnly(ctx iris.Context) {
-	sum := sha256.Sum256([]byte(strings.TrimPrefix(ctx.GetHeader("Authorization"), bearer)))
-	given := identifier.Digest(hex.EncodeToString(sum[:]))
-	for _, known := range e.settings.OperatorKeyDigests {
-		if subtle.ConstantTimeCompare([]byte(given), []byte(known)) == 1 {
-			ctx.Next()
+// allLinks returns one link to each linked node.
+func (e *Entry) allLinks() []*linker.Link {
+	byNode := map[identifier.Node]*linker.Link{}
+	for _, m := range e.pool.Members() {
+		byNode[m.Link.Peer().Node] = m.Link
+	}
+	for _, l := range e.peers.all() {
+		byNode[l.Peer().Node] = l
+	}
+	out := make([]*linker.Link, 0, len(byNode))
+	for _, l := range byNode {
+		out = append(out, l)
+	}
+	return out
+}
+
+// serveStreams answers the questions of a linked node until the link is down.
+func (e *Entry) serveStreams(ctx context.Context, link *linker.Link) {
+	for {
+		stream, err := link.Accept(ctx)
+		if err != nil {
 			return
 		}
+		go func() {
+			defer stream.Release()
+			m, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			if explain, ok := m.(messenger.Explain); ok {
+				explainer.Answer(stream, e.log, explain)
+			}
+		}()
 	}
-	ctx.StopWithStatus(http.StatusUnauthorized)
 }
 
-func (e *Entry) putResource(ctx iris.Context) {
-	kind, err := declarer.ParseKind(ctx.Params().Get("kind"))
-	if err != nil {
-		ctx.StopWithError(http.StatusNotFound, err)
-		return
+// nodeList gives the registrar's judgement with the load of linked upstreams.
+type nodeList struct{ entry *Entry }
+
+// Nodes returns all known nodes.
+func (n nodeList) Nodes() []administrator.NodeStatus {
+	e := n.entry
+	now := time.Now()
+	e.nodes.Heard(now, e.self())
+	loads := map[identifier.Node]messenger.Load{}
+	for _, m := range e.pool.Members() {
+		loads[m.Link.Peer().Node] = m.Load
 	}
-	raw, err := io.ReadAll(ctx.Request().Body)
-	if err != nil {
-		ctx.StopWithError(http.StatusBadRequest, err)
-		return
+	var out []administrator.NodeStatus
+	for _, s := range e.nodes.Nodes(now) {
+		status := administrator.NodeStatus{
+			Node: s.Node, Role: s.Role, FailureDomain: s.FailureDomain, Address: s.Address, State: string(s.State),
+			Reason: s.Reason, Revision: s.Revision, Age: s.Age,
+		}
+		if load, ok := loads[s.Node]; ok {
+			status.Load = &load
+			status.Upstream = load.Upstream
+		}
+		out = append(out, status)
 	}
-	resource, err := declarer.DecodeNamed(kind, ctx.Params().Get("name"), "body", raw)
+	return out
+}
+
+// mapList reads the groups' expert maps from the table.
+type mapList struct{ entry *Entry }
+
+// Maps returns the decided maps of all groups.
+func (m mapList) Maps(ctx context.Context) ([]administrator.MapStatus, error) {
+	rows, err := m.entry.platform.Scan(ctx, mapPrefix, "", mapPage)
 	if err != nil {
-		ctx.StopWithError(http.StatusUnprocessableEntity, err)
-		return
-	}
-	if _, err := e.writer.Put(ctx.Request().Context(), resource, configurer.MatchAny()); err != nil {
-		ctx.StopWithError(http.StatusConflict, err)
-		return
+		return nil, err
 	}
-	if err := e.refreshConfiguration(ctx.Request().Context()); err != nil {
-		ctx.StopWithError(http.StatusServiceUnavailable, err)
-		return
+	out := make([]administrator.MapStatus, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, administrator.MapStatus{
+			Group:    identifier.ModelGroup(strings.TrimPrefix(row.Key, mapPrefix)),
+			Version:  identifier.MapVersion(row.Version),
+			Document: row.Value,
+		})
 	}
-	ctx.StatusCode(http.StatusOK)
+	return out, nil
 }
