--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -103,6 +103,7 @@
 	StepPerRequest time.Duration `long:"step-per-request" default:"50us" description:"what a running request adds to a step"`
 	Batch          int           `long:"batch" description:"bound of running requests, 0 for none"`
 	Queue          int           `long:"queue" description:"bound of waiting requests when batch is set"`
+	ColdPrefill    int           `long:"cold-prefill" default:"8" description:"steps that a cold engine adds before the first token, negative for none"`
 	ReportLag      time.Duration `long:"report-lag" default:"300ms" description:"age of reports, negative for none"`
 	Models         []string      `long:"model" description:"loaded model, repeatable; without any the engine serves every model"`
 	Role           string        `long:"role" description:"what the engine does"`
@@ -136,7 +137,8 @@
 		Simulator: sim,
 		StepBase:  c.StepBase, StepPerRequest: c.StepPerRequest,
 		Batch: c.Batch, Queue: c.Queue,
-		ReportLag: c.ReportLag, Models: c.Models, Role: c.Role, CheckFence: c.CheckFence,
+		ColdPrefill: c.ColdPrefill,
+		ReportLag:   c.ReportLag, Models: c.Models, Role: c.Role, CheckFence: c.CheckFence,
 		CachePrefixes: c.CachePrefixes, EventDelay: c.EventDelay, EventGap: c.EventGap, Seed: c.Seed,
 		Group: engineserver.GroupConfig{
 			Size: c.GroupSize, Rank: c.Rank, Coordinator: c.Coordinator, Experts: c.Experts,
@@ -152,8 +154,9 @@
 type serviceCommand struct {
 	ctx context.Context
 	upstreamOptions
-	Latency time.Duration `long:"latency" default:"20ms" description:"duration of a call, negative for none"`
-	Limit   int           `long:"limit" description:"running calls above which the service answers 503, 0 for none"`
+	Latency    time.Duration `long:"latency" default:"20ms" description:"duration of a call, negative for none"`
+	ColdFactor float64       `long:"cold-factor" default:"5" description:"factor of the latency of a cold service"`
+	Limit      int           `long:"limit" description:"running calls above which the service answers 503, 0 for none"`
 }
 
 // Execute runs the command.
@@ -162,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := serviceserver.New(serviceserver.Config{Simulator: sim, Latency: c.Latency, Limit: c.Limit})
+	server, err := serviceserver.New(serviceserver.Config{Simulator: sim, Latency: c.Latency, ColdFactor: c.ColdFactor, Limit: c.Limit})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/engineserver/engine.go
+++ b/internal/standin/engineserver/engine.go
@@ -11,6 +11,9 @@
 // crashDelay is the time between the start of a crashing request and the crash.
 const crashDelay = 20 * time.Millisecond
 
+// roundHalf added before truncation rounds to the nearest integer.
+const roundHalf = 0.5
+
 // engine is one life of an engine stand-in.
 type engine struct {
 	cfg     Config
@@ -188,6 +191,8 @@
 	g.started = true
 	g.prefixHit = e.cache.use(g.in.Prefix)
 	g.shortenPrefill(e.kv.covered(g.seed))
+	cold := 1 - e.life.Warmth()
+	g.prefill += int(float64(max(e.cfg.ColdPrefill, 0))*cold + roundHalf)
 	e.life.Start()
 	if g.crashes {
 		time.AfterFunc(crashDelay, e.life.Crash)
--- a/internal/standin/engineserver/engineserver.go
+++ b/internal/standin/engineserver/engineserver.go
@@ -17,11 +17,13 @@
 	defaultStepPerRequest = 50 * time.Microsecond
 	defaultReportLag      = 300 * time.Millisecond
 	defaultPrefillTokens  = 512
-	defaultCachePrefixes  = 64
-	defaultEventDelay     = 500 * time.Millisecond
-	defaultKVSize         = 1 << 30
-	defaultExperts        = 64
-	defaultPerToken       = 500 * time.Microsecond
+	// defaultColdPrefill shows in the time to first token, from which a balancer tells that an engine became cold.
+	defaultColdPrefill   = 8
+	defaultCachePrefixes = 64
+	defaultEventDelay    = 500 * time.Millisecond
+	defaultKVSize        = 1 << 30
+	defaultExperts       = 64
+	defaultPerToken      = 500 * time.Microsecond
 )
 
 // Config holds what an engine stand-in is built from.
@@ -36,6 +38,9 @@
 	ReportLag time.Duration
 	// PrefillTokens is the number of prompt tokens that one step processes.
 	PrefillTokens int
+	// ColdPrefill is the number of steps that a cold engine adds before the first token; it falls to 0 as the engine
+	// warms up. A negative value adds none.
+	ColdPrefill int
 	// Models are the models loaded at start. Without any, the engine serves every model.
 	Models []string
 	Role   string
@@ -107,6 +112,9 @@
 	if c.PrefillTokens == 0 {
 		c.PrefillTokens = defaultPrefillTokens
 	}
+	if c.ColdPrefill == 0 {
+		c.ColdPrefill = defaultColdPrefill
+	}
 	if c.CachePrefixes == 0 {
 		c.CachePrefixes = defaultCachePrefixes
 	}
@@ -181,8 +189,8 @@
 
 func (s *Server) build(life *simulator.Life) http.Handler {
 	e := newEngine(s, life)
-	go e.run()
-	go e.reports.run()
+	life.Go(e.run)
+	life.Go(e.reports.run)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /engine/v1/generate", e.generate)
 	mux.HandleFunc("POST /engine/v1/cancel", e.cancel)
