Operator commands

Cause: operators declare resources, drain, return and look at the fleet from the command line, through any entry. Ruled out: the operator key as an option, since command lines are visible to other users; resending a change to another entry after a lost answer, since it may have been accepted. Change: commander registers entry, agent, apply, get, watch, drain, return, status, explain, check and keygen with help and examples, and holds their dependencies in one struct. Before and after: no commands before. Conclusion: the main program needs to supply the run functions and the key maker.

--- /dev/null
+++ b/internal/process/commander/help.go
@@ -0,0 +1,66 @@
+package commander
+
+const entryHelp = `Runs an entry until it receives a termination signal, then stops gracefully.
+
+Example:
+  currantledge entry --settings entry.hujson`
+
+const agentHelp = `Runs an agent until it receives a termination signal, then stops gracefully.
+
+Example:
+  currantledge agent --settings agent.hujson`
+
+const applyHelp = `Declares the resources of one or more files, in an order in which references hold. Resources that are not in the files stay as they are. Unchanged resources keep their revision. Exits with 3 on a conflict.
+
+Examples:
+  currantledge apply --entry 127.10.1.11:8081 examples/ke-central/resources.hujson
+  currantledge apply --expect 41 customers.hujson
+  currantledge apply --delete customers/old-shop`
+
+const getHelp = `Shows the resources of a kind in the form that apply reads, or one resource. The kinds are failureDomains, modelGroups, services, upstreams, customers, and read-only nodes, maps and decisions.
+
+Examples:
+  currantledge get customers > customers.hujson
+  currantledge get upstreams ke-a-runner-01
+  currantledge get nodes`
+
+const watchHelp = `Follows the changes of a kind or of one resource as JSON lines until interrupted. If the entry stops, the watch goes on at the next one.
+
+Examples:
+  currantledge watch failureDomains
+  currantledge watch --revision 41 customers nairobi-shops`
+
+const drainHelp = `Takes a failure domain or an upstream out: it receives no new work within 3 s, and running requests finish.
+
+Examples:
+  currantledge drain failureDomain ke-central-a
+  currantledge drain upstream ke-a-runner-01`
+
+const returnHelp = `Takes a failure domain or an upstream in again. Its load grows as its upstreams warm up.
+
+Examples:
+  currantledge return failureDomain ke-central-a
+  currantledge return upstream ke-a-runner-01`
+
+const statusHelp = `Shows each node with its state and revision, and names the nodes that lag or cannot be reached.
+
+Examples:
+  currantledge status
+  currantledge status --json`
+
+const explainHelp = `Shows the decisions on a request with their reasons. It asks all given entries, since each keeps its own decisions. The request id is in the header Currantledge-Request of the answer.
+
+Example:
+  currantledge explain --entry 127.10.1.11:8081 --entry 127.10.2.11:8081 0123456789abcdef0123456789abcdef`
+
+const checkHelp = `Validates files without any entry and reports all problems at once, with file, line and column. The resource files together are checked as one complete configuration.
+
+Examples:
+  currantledge check examples/ke-central/resources.hujson
+  currantledge check --entry-settings entry.hujson --agent-settings agent.hujson
+  currantledge check --entries examples/ke-central/entries.hujson --agents examples/ke-central/agents.hujson`
+
+const keygenHelp = `Makes the fleet's certificate authority, unless the directory holds one, and a certificate and key for each node.
+
+Example:
+  currantledge keygen --directory keys --node entry:ke-a-entry-1 --node agent:ke-a-agent-01`
--- a/internal/version/declarer/declarer.go
+++ b/internal/version/declarer/declarer.go
@@ -240,38 +240,92 @@
 	return r, nil
 }
 
-// DecodeFile reads a text that holds an array of resources for each kind, in the order of Kinds. The error lists every
-// problem, including resources that are declared twice or refer to resources that are neither in the text nor in known.
+// Source is a text with its name.
+type Source struct {
+	Name string
+	Text []byte
+}
+
+// DecodeFile reads a text that holds an array of resources for each kind. It is DecodeFiles for one text.
 func DecodeFile(source string, text []byte) ([]Resource, error) {
-	document, object := parser.Parse(source, text)
-	if object == nil {
-		return nil, document.Err()
+	return DecodeFiles(Source{Name: source, Text: text})
+}
+
+// DecodeFiles reads the texts of a complete configuration, each with an array of resources for each kind. The error
+// lists every problem, including names that are declared twice and references to resources that no text declares.
+func DecodeFiles(sources ...Source) ([]Resource, error) {
+	s := newSet(sources)
+	if err := s.err(); err != nil {
+		return nil, err
+	}
+	for _, f := range CheckSet(s.resources) {
+		s.origins[Key(f.Resource)].Report(f.Field, f.Value, f.Remedy)
+	}
+	if err := s.err(); err != nil {
+		return nil, err
+	}
+	return s.resources, nil
+}
+
+// DecodePart reads texts like DecodeFiles, but the resources may refer to others that no text declares.
+func DecodePart(sources ...Source) ([]Resource, error) {
+	s := newSet(sources)
+	if err := s.err(); err != nil {
+		return nil, err
+	}
+	return s.resources, nil
+}
+
+// set holds the resources of several texts and where they were declared.
+type set struct {
+	documents []*parser.Document
+	resources []Resource
+	origins   map[string]*parser.Object
+}
+
+// newSet reads all texts; the resources are in the order of Kinds.
+func newSet(sources []Source) *set {
+	s := &set{origins: map[string]*parser.Object{}}
+	var roots []*parser.Object
+	for _, source := range sources {
+		document, root := parser.Parse(source.Name, source.Text)
+		s.documents = append(s.documents, document)
+		if root != nil {
+			roots = append(roots, root)
+		}
 	}
-	var resources []Resource
-	origins := map[string]*parser.Object{}
 	for _, kind := range Kinds() {
-		for _, o := range object.Objects(string(kind), 0) {
-			r := decode(kind, o)
-			resources = append(resources, r)
-			key := Key(r)
-			if origins[key] != nil && r.Identity() != "" {
-				o.Report("name", r.Identity(), "another resource of the kind has this name; rename one")
-				continue
-			}
-			origins[key] = o
+		for _, root := range roots {
+			s.add(kind, root)
 		}
 	}
-	object.Close()
-	if err := document.Err(); err != nil {
-		return nil, err
+	for _, root := range roots {
+		root.Close()
 	}
-	for _, f := range CheckSet(resources) {
-		origins[Key(f.Resource)].Report(f.Field, f.Value, f.Remedy)
+	return s
+}
+
+func (s *set) add(kind Kind, root *parser.Object) {
+	for _, o := range root.Objects(string(kind), 0) {
+		r := decode(kind, o)
+		s.resources = append(s.resources, r)
+		if s.origins[Key(r)] != nil && r.Identity() != "" {
+			o.Report("name", r.Identity(), "another resource of the kind has this name; rename one")
+			continue
+		}
+		s.origins[Key(r)] = o
 	}
-	if err := document.Err(); err != nil {
-		return nil, err
+}
+
+func (s *set) err() error {
+	var problems []Problem
+	for _, d := range s.documents {
+		var invalid *InvalidError
+		if errors.As(d.Err(), &invalid) {
+			problems = append(problems, invalid.Problems()...)
+		}
 	}
-	return resources, nil
+	return parser.NewInvalidError(problems)
 }
 
 // Key returns kind and name of a resource as kind/name.
