Count max_tokens from the start of the answer

Cause: an entry that resumes a stream knows the text that the caller has, not its tokens, so a bound on the rest cannot be given. Ruled out: token counts in every Data message, which the answer buffer merges. Conclusion: resumed answers have the same length as undisturbed ones.

--- a/internal/connection/driver/engine.go
+++ b/internal/connection/driver/engine.go
@@ -27,7 +27,8 @@
 	Adapter  string
 	// Prompt and Generated are UTF-8 text. The engine continues after Generated.
 	Prompt, Generated []byte
-	// MaxTokens bounds the tokens generated after Generated.
+	// MaxTokens bounds the tokens of the whole answer, those of Generated included, since a caller of Generate does
+	// not know how many tokens a text has.
 	MaxTokens identifier.Tokens
 	Priority  identifier.Priority
 	Prefix    identifier.Digest
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -186,7 +186,7 @@
 		Priority   identifier.Priority
 		// Timeout is the time left for the whole request.
 		Timeout time.Duration
-		// MaxTokens bounds what a model may still generate.
+		// MaxTokens bounds the tokens of the whole answer, those of Generated included.
 		MaxTokens identifier.Tokens
 		// Generated is the text that the caller already has of a resumed model stream.
 		Generated []byte
--- a/internal/standin/engineserver/generation.go
+++ b/internal/standin/engineserver/generation.go
@@ -69,7 +69,7 @@
 	from := generated / TokenBytes
 	total := AnswerTokens([]byte(in.Prompt), 0)
 	if in.MaxTokens > 0 {
-		total = min(total, from+in.MaxTokens)
+		total = min(total, max(from, in.MaxTokens))
 	}
 	promptTokens := (len(in.Prompt) + generated) / charactersPerToken
 	return &generation{
