--- a/internal/process/commander/client.go
+++ b/internal/process/commander/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -242,7 +243,7 @@
 }
 
 func resourcePath(kind declarer.Kind, name string) string {
-	return "/api/v1/" + string(kind) + "/" + name
+	return "/api/v1/" + string(kind) + "/" + url.PathEscape(name)
 }
 
 // held is a resource as an entry holds it; a nil resource does not exist.
--- a/internal/process/commander/remote.go
+++ b/internal/process/commander/remote.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -143,9 +144,9 @@
 	if err != nil {
 		return err
 	}
-	path := "/api/v1/" + c.Args.Kind
+	path := "/api/v1/" + url.PathEscape(c.Args.Kind)
 	if c.Args.Name != "" {
-		path += "/" + c.Args.Name
+		path += "/" + url.PathEscape(c.Args.Name)
 	}
 	r, err := remote.call(c.ctx, http.MethodGet, path, nil)
 	if err != nil {
@@ -219,7 +220,7 @@
 func (c *watchCommand) follow(remote *client, entry string) error {
 	path := fmt.Sprintf("/api/v1/%s?watch=true&revision=%d", c.Args.Kind, c.Revision)
 	if c.Args.Name != "" {
-		path = fmt.Sprintf("/api/v1/%s/%s?watch=true&revision=%d", c.Args.Kind, c.Args.Name, c.Revision)
+		path = fmt.Sprintf("/api/v1/%s/%s?watch=true&revision=%d", c.Args.Kind, url.PathEscape(c.Args.Name), c.Revision)
 	}
 	answer, err := remote.open(c.ctx, entry, http.MethodGet, path, nil)
 	if err != nil {
--- a/internal/process/loader/loader_test.go
+++ b/internal/process/loader/loader_test.go
@@ -114,6 +114,8 @@
 
 	_, err = loader.ExpandEntries("entries", []byte(strings.Replace(text, `"e2"`, `"e1"`, 1)))
 	require.ErrorContains(t, err, "entries:9:14: field nodes[1].node")
+	_, err = loader.ExpandEntries("entries", []byte(strings.Replace(text, `"c.pem"`, `"c.pem", "extra": 1`, 1)))
+	require.EqualError(t, err, `entries:5:58: field common.keys.extra has the value (a number): the field is unknown; remove it or correct its name`)
 	_, err = loader.ExpandEntries("entries", []byte(strings.Replace(text, `"warn"`, `"loud"`, 1)))
 	require.ErrorContains(t, err, "entries:9:32: field nodes[1].logLevel")
 }
--- a/internal/process/parser/object.go
+++ b/internal/process/parser/object.go
@@ -18,6 +18,8 @@
 }
 
 type member struct {
+	// path is the path of the field where it is written.
+	path       string
 	nameOffset int
 	value      hujson.Value
 	read       bool
@@ -41,7 +43,7 @@
 			continue
 		}
 		o.order = append(o.order, name)
-		o.members[name] = &member{nameOffset: m.Name.StartOffset, value: m.Value}
+		o.members[name] = &member{path: join(path, name), nameOffset: m.Name.StartOffset, value: m.Value}
 	}
 	return o
 }
@@ -213,10 +215,17 @@
 }
 
 func (o *Object) at(field string) string {
-	if o.path == "" || field == "" {
-		return o.path + field
+	if m := o.members[field]; m != nil {
+		return m.path
+	}
+	return join(o.path, field)
+}
+
+func join(path, field string) string {
+	if path == "" || field == "" {
+		return path + field
 	}
-	return o.path + "." + field
+	return path + "." + field
 }
 
 func (o *Object) require(field string) bool {
--- a/internal/process/parser/parser.go
+++ b/internal/process/parser/parser.go
@@ -46,11 +46,16 @@
 	return d, d.object("", value.StartOffset, object)
 }
 
-// Err returns an *InvalidError with every problem found so far, or nil.
+// Err returns an *InvalidError with every problem found so far, or nil. A problem of a field that several objects share
+// is listed once.
 func (d *Document) Err() error {
 	slices.SortStableFunc(d.problems, func(a, b Problem) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		return cmp.Or(
+			cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Field, b.Field), cmp.Compare(a.Remedy, b.Remedy),
+		)
 	})
+	d.problems = slices.Compact(d.problems)
 	return NewInvalidError(d.problems)
 }
 
