--- a/internal/process/commander/commander_test.go
+++ b/internal/process/commander/commander_test.go
@@ -342,7 +342,7 @@
 	require.Equal(t, commander.ExitFailed, code)
 	require.Equal(t, "the entry failed\n", failures)
 	f.succeed("agent", "--settings", f.file(string(loader.EncodeAgent(agents[0]))))
-	f.succeed("keygen", "--directory", "k", "--node", "entry:e1", "--node", "agent:a1")
+	f.succeed("keygen", "--out", "k", "--node", "e1:entry", "--node", "a1:agent")
 	require.Equal(t, commander.KeygenRequest{Directory: "k", Nodes: []commander.KeygenNode{
 		{Name: "e1", Role: identifier.RoleEntry}, {Name: "a1", Role: identifier.RoleAgent},
 	}}, keygen)
--- a/internal/process/commander/help.go
+++ b/internal/process/commander/help.go
@@ -63,4 +63,4 @@
 const keygenHelp = `Makes the fleet's certificate authority, unless the directory holds one, and a certificate and key for each node.
 
 Example:
-  currantledge keygen --directory keys --node entry:ke-a-entry-1 --node agent:ke-a-agent-01`
+  currantledge keygen --out keys --node ke-a-entry-1:entry --node ke-a-agent-01:agent`
--- a/internal/process/commander/local.go
+++ b/internal/process/commander/local.go
@@ -104,18 +104,18 @@
 
 type keygenCommand struct {
 	base
-	Directory string   `long:"directory" default:"keys" value-name:"DIRECTORY" description:"receives the PEM files"`
-	Nodes     []string `long:"node" value-name:"ROLE:NAME" description:"a node that receives a certificate; ROLE is entry or agent"`
+	Directory string   `long:"out" default:"keys" value-name:"DIRECTORY" description:"receives the PEM files"`
+	Nodes     []string `long:"node" value-name:"NAME:ROLE" description:"a node that receives a certificate, repeatable; ROLE is entry or agent"`
 }
 
 // Execute makes the keys.
 func (c *keygenCommand) Execute([]string) error {
 	request := KeygenRequest{Directory: c.Directory}
 	for _, text := range c.Nodes {
-		role, name, ok := strings.Cut(text, ":")
+		name, role, ok := strings.Cut(text, ":")
 		node := KeygenNode{Name: identifier.Node(name), Role: identifier.Role(role)}
 		if !ok || name == "" || (node.Role != identifier.RoleEntry && node.Role != identifier.RoleAgent) {
-			return errors.Newf("--node %s is not acceptable; write entry:NAME or agent:NAME", text)
+			return errors.Newf("--node %s is not acceptable; write NAME:entry or NAME:agent", text)
 		}
 		request.Nodes = append(request.Nodes, node)
 	}
--- a/internal/process/keymaker/keymaker.go
+++ b/internal/process/keymaker/keymaker.go
@@ -4,13 +4,11 @@
 import (
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/authenticator"
-	"currantledge.example/currantledge/internal/process/identifier"
 )
 
 const (
@@ -30,20 +28,6 @@
 	Now       time.Time
 }
 
-// ParseNode reads NAME:ROLE.
-func ParseNode(s string) (authenticator.Identity, error) {
-	name, role, found := strings.Cut(s, ":")
-	switch identifier.Role(role) {
-	case identifier.RoleEntry, identifier.RoleAgent, identifier.RoleOperator:
-	default:
-		found = false
-	}
-	if !found || name == "" || strings.ContainsAny(name, "/\\") || name == authorityName {
-		return authenticator.Identity{}, errors.Newf("node %q is not NAME:ROLE; the role is entry, agent or operator", s)
-	}
-	return authenticator.Identity{Node: identifier.Node(name), Role: identifier.Role(role)}, nil
-}
-
 // Make writes NAME.pem and NAME-key.pem for each node.
 func Make(cfg Config) error {
 	if err := os.MkdirAll(cfg.Directory, directoryMode); err != nil {
@@ -54,6 +38,9 @@
 		return err
 	}
 	for _, node := range cfg.Nodes {
+		if err := checkName(string(node.Node)); err != nil {
+			return err
+		}
 		pair, err := authenticator.Issue(authority, node, cfg.Now)
 		if err != nil {
 			return errors.Wrapf(err, "issue key of %s", node.Node)
@@ -65,6 +52,14 @@
 	return nil
 }
 
+// checkName refuses names that would write outside the directory or over the authority.
+func checkName(name string) error {
+	if name == "" || name == authorityName || name != filepath.Base(name) {
+		return errors.Newf("node name %q cannot be a file name; use letters, digits, dots and dashes", name)
+	}
+	return nil
+}
+
 func authorityOf(cfg Config) (authenticator.Pair, error) {
 	base := filepath.Join(cfg.Directory, authorityName)
 	certificate, err := os.ReadFile(base + certificateEnd)
--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,6 +11,9 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 )
 
+// setTimeFormat sets zerolog's global format once, since loggers may be made at the same time.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
+
 // Config holds what a logger is built from.
 type Config struct {
 	Output        io.Writer
@@ -40,7 +44,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(Event) {}
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	setTimeFormat()
 	zero := zerolog.New(cfg.Output).Level(cfg.Level).With().Timestamp().
 		Str("node", string(cfg.Node)).Str("failureDomain", string(cfg.FailureDomain)).Logger()
 	return &Logger{zero: zero, node: cfg.Node, decisions: newRing(cfg.Decisions), count: cfg.Count}
--- a/internal/prover/verifier/site_test.go
+++ b/internal/prover/verifier/site_test.go
@@ -33,7 +33,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	binaries, err = launcher.BuildBinaries(context.Background(), folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
