Bound the lead of every customer that starts to wait

Cause: the reference level counted credits that were issued and never used, and applied only to customers without any running request, so a customer with a larger share could start behind one with a smaller share. Ruled out: a lower bound taken from the smallest service of active customers, which one small customer pulls down for all others. Change: the level follows admitted requests only, and every customer that goes from no uncovered demand to some is raised to it, less four requests.

--- a/internal/connection/granter/sharer.go
+++ b/internal/connection/granter/sharer.go
@@ -12,8 +12,8 @@
 const (
 	// serviceHalfLife is the time in which the recorded service of a customer halves.
 	serviceHalfLife = 10 * time.Second
-	// maxLead is how many requests a customer that was idle may be ahead of the others. Without a bound, a customer
-	// that returns with many requests would take every credit until its service equals that of the others.
+	// maxLead is how many requests a customer that starts to wait may be ahead of the others. Without a bound, a
+	// customer that returns with many requests would take every credit until its service equals that of the others.
 	maxLead = 4
 	// settleTime is how long an admitted or returned credit lowers the demand of an entry that sends no newer Demand.
 	// Demand and Dispatch travel on separate streams, so the number that is known may still count that request.
@@ -74,13 +74,6 @@
 	return sum
 }
 
-func (a *account) active() bool {
-	if a.running > 0 {
-		return true
-	}
-	return slices.ContainsFunc(a.lines, func(l *line) bool { return l.waiting+l.unused > 0 })
-}
-
 func (a *account) line(entry identifier.Node) *line {
 	at, found := a.find(entry)
 	if !found {
@@ -120,7 +113,8 @@
 	share    func(identifier.Customer) identifier.Share
 	accounts map[identifier.Customer]*account
 	turn     uint64
-	// level is the share-weighted service at which the last credits were given, the reference for idle customers.
+	// level is the share-weighted service at which the last credits were given, the reference for customers that
+	// start to wait.
 	level float64
 	asOf  time.Time
 	swept time.Time
@@ -155,18 +149,19 @@
 		return
 	}
 	a := s.account(now, c)
-	if !a.active() && waiting > 0 {
-		s.activate(now, a)
-	}
+	queued := a.need() > 0
 	l := a.line(entry)
 	l.waiting = max(0, waiting)
 	l.settling = 0
+	if !queued && l.need() > 0 {
+		s.activate(now, a)
+	}
 	if waiting > 0 {
 		l.lastAt = now
 	}
 }
 
-// activate bounds how far a customer that was idle is behind those that were served meanwhile.
+// activate bounds how far a customer whose requests did not wait is behind those that were served meanwhile.
 func (s *sharer) activate(now time.Time, a *account) {
 	a.decayTo(now)
 	floor := decayed(s.level, s.asOf, now)*s.weight(a.name) - maxLead
@@ -266,20 +261,21 @@
 // service, so that the credits of one round are spread as well. Among equals the one that waited longest for a turn wins.
 func (s *sharer) choose(now time.Time) *line {
 	var best *account
-	var lowest float64
+	var lowest, level float64
 	for _, a := range s.accounts {
 		if a.need() == 0 {
 			continue
 		}
-		score := (decayed(a.service, a.asOf, now) + float64(a.unused())) / s.weight(a.name)
+		service, weight := decayed(a.service, a.asOf, now), s.weight(a.name)
+		score := (service + float64(a.unused())) / weight
 		if best == nil || score < lowest || score == lowest && a.before(best) {
-			best, lowest = a, score
+			best, lowest, level = a, score, service/weight
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	s.level = max(decayed(s.level, s.asOf, now), lowest)
+	s.level = max(decayed(s.level, s.asOf, now), level)
 	s.asOf = now
 	s.turn++
 	best.lastTurn = s.turn
