Keep responses at the agent until they are acknowledged

Cause: a caller must receive its whole response after a lost connection, without a second run. Ruled out: one contiguous byte slice per response, which copies on every acknowledgement; a reader that repeats bytes after an acknowledgement, since freed bytes cannot be repeated.

--- /dev/null
+++ b/internal/request/streamer/registry.go
@@ -0,0 +1,150 @@
+package streamer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+const defaultRetention = 60 * time.Second
+
+// ErrAttemptExists is returned for an attempt that was opened before.
+var ErrAttemptExists = errors.New("the attempt exists already; attach to it, or dispatch with the next attempt number")
+
+// RegistryConfig sets up a Registry.
+type RegistryConfig struct {
+	// Retention is how long a response is kept after its end when it is not acknowledged; 60 s by default.
+	Retention time.Duration
+	// MaxBytes bounds the unacknowledged bytes of each response; 1 MiB by default.
+	MaxBytes identifier.Bytes
+	// Clock returns the current time; time.Now by default.
+	Clock func() time.Time
+}
+
+type attemptKey struct {
+	request  identifier.Request
+	attempt  identifier.Attempt
+	customer identifier.Customer
+}
+
+// Registry finds the response of an attempt. The customer is part of the key, so a lookup for another customer finds
+// nothing. It is safe for concurrent use.
+type Registry struct {
+	cfg RegistryConfig
+
+	mu      sync.Mutex
+	buffers map[attemptKey]*Buffer
+	empty   chan struct{}
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(cfg RegistryConfig) *Registry {
+	if cfg.Retention <= 0 {
+		cfg.Retention = defaultRetention
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	return &Registry{cfg: cfg, buffers: map[attemptKey]*Buffer{}}
+}
+
+// Open creates the buffer of a new attempt. It returns ErrAttemptExists for an attempt that is still known, so that a
+// repeated Dispatch never starts a second run.
+func (r *Registry) Open(request identifier.Request, attempt identifier.Attempt, customer identifier.Customer) (*Buffer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := attemptKey{request, attempt, customer}
+	if _, found := r.buffers[key]; found {
+		return nil, ErrAttemptExists
+	}
+	b := NewBuffer(BufferConfig{MaxBytes: r.cfg.MaxBytes, Clock: r.cfg.Clock})
+	r.buffers[key] = b
+	return b, nil
+}
+
+// Lookup returns the buffer of an attempt of this customer.
+func (r *Registry) Lookup(request identifier.Request, attempt identifier.Attempt, customer identifier.Customer) (*Buffer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, found := r.buffers[attemptKey{request, attempt, customer}]
+	return b, found
+}
+
+// Acknowledge applies an Ack of the entry. An attempt that has ended and is acknowledged as finished is forgotten.
+func (r *Registry) Acknowledge(request identifier.Request, attempt identifier.Attempt, customer identifier.Customer, ack messenger.Ack) error {
+	b, found := r.Lookup(request, attempt, customer)
+	if !found {
+		return nil
+	}
+	if err := b.Acknowledge(ack.Offset); err != nil {
+		return err
+	}
+	if _, ended := b.Ended(); ended && ack.Finished {
+		r.Remove(request, attempt, customer)
+	}
+	return nil
+}
+
+// Remove forgets an attempt, for example one that was refused before anything started.
+func (r *Registry) Remove(request identifier.Request, attempt identifier.Attempt, customer identifier.Customer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.buffers, attemptKey{request, attempt, customer})
+	r.signal()
+}
+
+// Sweep forgets the responses whose retention has passed, and returns how many.
+func (r *Registry) Sweep(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	removed := 0
+	for key, b := range r.buffers {
+		at, ended := b.Ended()
+		if ended && now.Sub(at) >= r.cfg.Retention {
+			delete(r.buffers, key)
+			removed++
+		}
+	}
+	r.signal()
+	return removed
+}
+
+// Len returns the number of responses that are running or not acknowledged.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.buffers)
+}
+
+// Wait returns once no response is running or unacknowledged, which ends a graceful shutdown.
+func (r *Registry) Wait(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		if len(r.buffers) == 0 {
+			r.mu.Unlock()
+			return nil
+		}
+		if r.empty == nil {
+			r.empty = make(chan struct{})
+		}
+		empty := r.empty
+		r.mu.Unlock()
+		select {
+		case <-empty:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Registry) signal() {
+	if len(r.buffers) == 0 && r.empty != nil {
+		close(r.empty)
+		r.empty = nil
+	}
+}
