Test the demo with a sound and a faulty system of fakes

Cause: the demo must fail when answers are truncated, calls run twice or a failure domain that is out receives work, and the product cannot show that. Ruled out: tests of the parts only, which would miss what the demo prints and returns. Change: the test binary acts as all binaries; its entry sends requests to the real stand-ins through fake agents. Violations are printed by guarantee. Requests without an answer 15 s after the load are given up and fail the demo. Conclusion: the demo detects these faults; its run against the product is still to come.

--- a/internal/prover/demonstrator/conclusion.go
+++ b/internal/prover/demonstrator/conclusion.go
@@ -13,8 +13,10 @@
 
 const (
 	guaranteeLeave = "G3 no new work in a failure domain that is out"
-	// maxShown bounds the violations that are printed.
-	maxShown = 20
+	// maxShown bounds the printed violations of each guarantee, so that none hides those of another.
+	maxShown = 4
+	// maxCauses bounds the printed causes.
+	maxCauses = 20
 )
 
 // conclude prints what the records show, with the counts in the last line.
@@ -23,19 +25,15 @@
 	report.Violations = append(report.Violations, d.checkDomain(records)...)
 	summary := report.Summary()
 	d.describe(report)
-	for i, v := range report.Violations {
-		if i == maxShown {
-			d.say("%d more violations", len(report.Violations)-maxShown)
-			break
-		}
-		d.say("violation: %s", v)
-	}
+	d.describeViolations(report.Violations)
 	fmt.Fprintf(d.cfg.Output, "demo: %s\n", summary)
 	switch {
 	case summary.Failed():
 		return errors.New("answers were wrong, cut or duplicated")
 	case len(report.Violations) > 0:
 		return errors.Newf("%d violations of guarantees; see the lines above", len(report.Violations))
+	case summary.Abandoned > 0:
+		return errors.Newf("%d requests had no answer %s after the load ended", summary.Abandoned, finishPeriod)
 	case summary.Complete == 0:
 		return errors.New("no request was complete")
 	}
@@ -54,7 +52,7 @@
 	causes := map[string]int{}
 	for _, v := range report.Verdicts {
 		switch v.Outcome {
-		case recorder.OutcomeComplete, recorder.OutcomeAbandoned:
+		case recorder.OutcomeComplete:
 		case recorder.OutcomeNotRun, recorder.OutcomeUnknown:
 			causes[string(v.Outcome)+" "+v.Cause]++
 		default:
@@ -64,13 +62,29 @@
 	d.describeCauses(causes)
 }
 
+func (d *Demo) describeViolations(violations []recorder.Violation) {
+	shown := map[string]int{}
+	for _, v := range violations {
+		shown[v.Guarantee]++
+		if shown[v.Guarantee] <= maxShown {
+			d.say("violation: %s", v)
+		}
+	}
+	for _, v := range violations {
+		if more := shown[v.Guarantee] - maxShown; more > 0 {
+			d.say("violation: %s: %d more", v.Guarantee, more)
+			shown[v.Guarantee] = 0
+		}
+	}
+}
+
 func (d *Demo) describeCauses(causes map[string]int) {
 	names := make([]string, 0, len(causes))
 	for name := range causes {
 		names = append(names, name)
 	}
 	sort.Slice(names, func(i, j int) bool { return causes[names[i]] > causes[names[j]] })
-	for _, name := range names[:min(len(names), maxShown)] {
+	for _, name := range names[:min(len(names), maxCauses)] {
 		d.say("%d times %s", causes[name], name)
 	}
 }
--- a/internal/prover/demonstrator/demonstrator.go
+++ b/internal/prover/demonstrator/demonstrator.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +19,9 @@
 	// The demo ends within 90 s in every case; the last seconds are kept for ending processes.
 	runTimeout  = 85 * time.Second
 	startPeriod = 40 * time.Second
-	stopPeriod  = 20 * time.Second
+	// finishPeriod is how long the last requests may take. Their answers take about 3 s on idle engines.
+	finishPeriod = 15 * time.Second
+	stopPeriod   = 15 * time.Second
 	// leavePeriod is the longest time after which a failure domain that is out may receive new work.
 	leavePeriod = 3 * time.Second
 	// settlePeriod is the time after a change from which the time to first token counts.
@@ -60,7 +63,9 @@
 
 // Demo is one run of the demo.
 type Demo struct {
-	cfg        Config
+	cfg Config
+	// speaking keeps the lines of progress and events apart.
+	speaking   sync.Mutex
 	started    time.Time
 	log        *recorder.Log
 	deployment *launcher.Deployment
@@ -85,6 +90,8 @@
 }
 
 func (d *Demo) say(format string, args ...any) {
+	d.speaking.Lock()
+	defer d.speaking.Unlock()
 	fmt.Fprintf(d.cfg.Output, "demo: %5.1f s  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -124,26 +131,26 @@
 func (d *Demo) loadAndChange(ctx context.Context) error {
 	balancer := newBalancer(d.deployment.Entries)
 	defer balancer.close()
-	load := newLoad(loadConfig{Plan: d.cfg.Plan, Seed: d.cfg.Seed, Log: d.log, Pick: balancer.pick})
+	load := newLoad(ctx, loadConfig{Plan: d.cfg.Plan, Seed: d.cfg.Seed, Log: d.log, Pick: balancer.pick})
 	defer load.close()
 	stopProgress := d.reportProgress(load)
 	defer stopProgress()
 
 	d.say("morning: many short requests")
-	load.run(ctx, morning, d.cfg.Schedule.Morning)
+	load.run(morning, d.cfg.Schedule.Morning)
 	d.say("evening: fewer and longer requests")
-	load.run(ctx, evening, d.cfg.Schedule.EveningBefore)
+	load.run(evening, d.cfg.Schedule.EveningBefore)
 	domain := d.domain()
 	if err := d.change(ctx, domain, launcher.StateOut, &d.left); err != nil {
 		return err
 	}
-	load.run(ctx, evening, d.cfg.Schedule.EveningOut)
+	load.run(evening, d.cfg.Schedule.EveningOut)
 	if err := d.change(ctx, domain, launcher.StateIn, &d.returned); err != nil {
 		return err
 	}
-	load.run(ctx, evening, d.cfg.Schedule.EveningAfter)
+	load.run(evening, d.cfg.Schedule.EveningAfter)
 	d.say("waiting for open requests")
-	load.wait()
+	load.finish(finishPeriod)
 	return errors.Wrap(ctx.Err(), "the demo took too long")
 }
 
--- /dev/null
+++ b/internal/prover/demonstrator/demonstrator_test.go
@@ -0,0 +1,87 @@
+package demonstrator_test
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/prover/demonstrator"
+	"currantledge.example/currantledge/internal/prover/launcher"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleVariable) != "" {
+		act(os.Args[1:])
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runDemo runs the demo with a small deployment of fakes and returns what it printed.
+func runDemo(t *testing.T, role string) (string, error) {
+	t.Helper()
+	t.Setenv(roleVariable, role)
+	plan := launcher.KeCentral()
+	plan.Entries = 3
+	plan.Groups[0].Ranks = 3
+	plan.Services[0].Runners = 3
+	var output bytes.Buffer
+	err := demonstrator.Run(t.Context(), demonstrator.Config{
+		Binaries: launcher.Binaries{Product: os.Args[0], Standin: os.Args[0]},
+		Plan:     plan,
+		Schedule: demonstrator.Schedule{
+			Morning:       time.Second,
+			EveningBefore: 500 * time.Millisecond,
+			EveningOut:    4500 * time.Millisecond,
+			EveningAfter:  1500 * time.Millisecond,
+		},
+		Seed:   1,
+		Output: &output,
+	})
+	t.Log(output.String())
+	return output.String(), err
+}
+
+func lastLine(output string) string {
+	lines := strings.Split(strings.TrimSpace(output), "\n")
+	return lines[len(lines)-1]
+}
+
+// Guards against a demo that fails without a fault, or whose last line has another form than its readers expect.
+func TestDemoOfASoundSystem(t *testing.T) {
+	output, err := runDemo(t, roleSound)
+	require.NoError(t, err)
+	require.Regexp(t, regexp.MustCompile(`^demo: sent=(\d+) complete=\d+ notRun=0 unknown=0 wrong=0 cut=0 duplicated=0$`), lastLine(output))
+	require.Contains(t, output, "failure domain ke-central-b is out")
+	require.Contains(t, output, "failure domain ke-central-b is in")
+	require.Contains(t, output, "all processes have ended")
+	require.NotContains(t, output, "violation")
+}
+
+// Guards against a demo that passes although answers are truncated, calls run twice and a failure domain that is out
+// receives new work.
+func TestDemoOfAFaultySystem(t *testing.T) {
+	output, err := runDemo(t, roleFaulty)
+	require.Error(t, err)
+	require.NotContains(t, lastLine(output), " wrong=0 ")
+	require.False(t, strings.HasSuffix(lastLine(output), "duplicated=0"))
+	require.Contains(t, output, "violation: G3")
+	require.Contains(t, output, "violation: G5")
+	require.Contains(t, output, "violation: G7")
+}
+
+// Guards against a demo without binaries that reports success.
+func TestDemoThatDoesNotStart(t *testing.T) {
+	var output bytes.Buffer
+	err := demonstrator.Run(t.Context(), demonstrator.Config{
+		Binaries: launcher.Binaries{Product: "/bin/false", Standin: "/bin/false"},
+		Plan:     launcher.KeCentral(),
+		Output:   &output,
+	})
+	require.ErrorContains(t, err, "start the deployment")
+}
--- a/internal/prover/demonstrator/load.go
+++ b/internal/prover/demonstrator/load.go
@@ -52,6 +52,8 @@
 // load sends requests at random times, whether or not earlier ones are answered.
 type load struct {
 	cfg    loadConfig
+	ctx    context.Context
+	cancel context.CancelFunc
 	caller *recorder.Caller
 	random *rand.Rand
 	shares float64
@@ -61,9 +63,12 @@
 	open   atomic.Int64
 }
 
-func newLoad(cfg loadConfig) *load {
+func newLoad(ctx context.Context, cfg loadConfig) *load {
+	ctx, cancel := context.WithCancel(ctx)
 	l := &load{
 		cfg:    cfg,
+		ctx:    ctx,
+		cancel: cancel,
 		caller: recorder.NewCaller(cfg.Log),
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
@@ -74,12 +79,15 @@
 }
 
 func (l *load) close() {
-	l.wait()
+	l.cancel()
+	l.calls.Wait()
 	l.caller.Close()
 }
 
-// wait returns when no request is open.
-func (l *load) wait() {
+// finish waits until no request is open. After a period it gives up those that are.
+func (l *load) finish(period time.Duration) {
+	giveUp := time.AfterFunc(period, l.cancel)
+	defer giveUp.Stop()
 	l.calls.Wait()
 }
 
@@ -88,19 +96,19 @@
 }
 
 // run sends a load for a time. Its last requests may still be open then.
-func (l *load) run(ctx context.Context, m mix, period time.Duration) {
+func (l *load) run(m mix, period time.Duration) {
 	end := time.NewTimer(period)
 	defer end.Stop()
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-l.ctx.Done():
 			return
 		case <-end.C:
 			return
 		case <-next.C:
-			l.send(ctx, m)
+			l.send(m)
 			pause := l.random.ExpFloat64() / (m.modelRate + m.serviceRate)
 			next.Reset(time.Duration(pause * float64(time.Second)))
 		}
@@ -108,19 +116,19 @@
 }
 
 // send starts one request of a random kind. All random decisions are made here, in one order.
-func (l *load) send(ctx context.Context, m mix) {
+func (l *load) send(m mix) {
 	l.number++
 	customer := l.customer()
 	if l.random.Float64()*(m.modelRate+m.serviceRate) < m.modelRate {
 		request := l.modelRequest(m, customer)
-		l.start(func() { l.caller.Ask(ctx, l.cfg.Pick(), request) })
+		l.start(func() { l.caller.Ask(l.ctx, l.cfg.Pick(), request) })
 		return
 	}
 	call := l.serviceCall(customer)
 	resend := call.Key != "" && l.happens(resendPart)
-	l.start(func() { l.caller.Call(ctx, l.cfg.Pick(), call) })
+	l.start(func() { l.caller.Call(l.ctx, l.cfg.Pick(), call) })
 	if resend {
-		l.start(func() { l.caller.Call(ctx, l.cfg.Pick(), call) })
+		l.start(func() { l.caller.Call(l.ctx, l.cfg.Pick(), call) })
 	}
 }
 
--- a/internal/prover/recorder/summary.go
+++ b/internal/prover/recorder/summary.go
@@ -16,9 +16,11 @@
 	Wrong      int
 	Cut        int
 	Duplicated int
+	// Abandoned counts the exchanges that their callers ended. It is no part of the closing line.
+	Abandoned int
 }
 
-// Summary counts the outcomes. An exchange that its caller abandoned counts as sent only.
+// Summary counts the outcomes.
 func (r Report) Summary() Summary {
 	s := Summary{Sent: len(r.Verdicts), Duplicated: r.Duplicated}
 	for _, v := range r.Verdicts {
@@ -34,6 +36,7 @@
 		case OutcomeCut:
 			s.Cut++
 		case OutcomeAbandoned:
+			s.Abandoned++
 		}
 	}
 	return s
