--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -22,6 +22,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/process/registrar"
 	"currantledge.example/currantledge/internal/process/supervisor"
 	"currantledge.example/currantledge/internal/request/quarantiner"
@@ -81,10 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := meter.New()
 	e := &Entry{
 		settings: s,
 		log: logger.New(logger.Config{
 			Output: cfg.Output, Level: s.LogLevel, Node: s.Node, FailureDomain: s.FailureDomain,
+			Count: metrics.Count,
 		}),
 		incarnation: identifier.NewIncarnation(time.Now()),
 		store:       configurer.New(),
@@ -95,7 +98,7 @@
 	}
 	e.suspects = newSuspects(quarantiner.New(quarantiner.Config{}), e.spreadSuspicions)
 	e.writer = configurer.NewWriter(configurer.WriterConfig{Table: adapter.Configuration(e.platform), Store: e.store})
-	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log, Adopted: e.adopted})
+	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log})
 	e.dispatcher = streamer.New(streamer.Config{
 		Pool: e.pool, Log: e.log, Candidates: e.candidates, Suspect: e.suspects.crashes, Crashed: e.suspects.crashed,
 		Policy: policy(s.Routing),
@@ -103,6 +106,8 @@
 	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat}
 	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveAgent})
 	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveEntry})
+	metrics.Gauge(meter.RequestsOpen, func() int64 { return int64(e.dispatcher.Open()) })
+	metrics.Gauge(meter.ConfigRevision, func() int64 { return int64(e.store.Revision()) })
 	e.http, err = newCallers(e)
 	return e, err
 }
@@ -141,7 +146,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for operators on %s; choose a free address", e.settings.Operators)
 	}
-	operatorAPI, err := e.newOperators()
+	operatorAPI, err := e.newOperators(operators)
 	if err != nil {
 		return err
 	}
@@ -153,7 +158,8 @@
 	group.Add(e.pollMachines)
 	group.Add(e.gossip)
 	group.Add(serveHTTP(callers, e.http))
-	group.Add(serveHTTP(operators, operatorAPI))
+	group.Add(operatorAPI.Run)
+	group.Add(e.watchConfiguration)
 	group.Add(func(partCtx context.Context) error { return e.awaitStop(ctx, partCtx) })
 	e.log.Event(logger.EventStarted).Str("callers", e.settings.Callers).Str("fleet", e.settings.Fleet).Send()
 	err = group.Run()
--- a/internal/standin/serviceserver/serviceserver.go
+++ b/internal/standin/serviceserver/serviceserver.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/standin/responder"
 	"currantledge.example/currantledge/internal/standin/simulator"
 )
@@ -21,6 +20,8 @@
 	headerKey      = "Idempotency-Key"
 	headerRequest  = "Currantledge-Request"
 	defaultLatency = 20 * time.Millisecond
+	// defaultColdFactor shows in the latency, from which a balancer tells that a service became cold.
+	defaultColdFactor = 5
 )
 
 // Config holds what a service stand-in is built from.
@@ -28,6 +29,10 @@
 	Simulator simulator.Config
 	// Latency is the duration of a call; a negative value answers at once.
 	Latency time.Duration
+	// ColdFactor multiplies the latency of a cold service; it falls to 1 as the service warms up.
+	ColdFactor float64
+	// Limit is the number of running calls above which the service answers 503 before a start, 0 for none.
+	Limit int
 }
 
 // Server is a service stand-in.
@@ -45,6 +50,9 @@
 	if cfg.Latency == 0 {
 		cfg.Latency = defaultLatency
 	}
+	if cfg.ColdFactor == 0 {
+		cfg.ColdFactor = defaultColdFactor
+	}
 	sim, err := simulator.New(cfg.Simulator)
 	if err != nil {
 		return nil, err
@@ -104,23 +112,27 @@
 		return
 	}
 	path, key := r.URL.RequestURI(), r.Header.Get(headerKey)
+	if !life.StartWithin(s.cfg.Limit) {
+		call := life.Open(simulator.Call{Request: r.Header.Get(headerRequest), Method: r.Method, Path: path, Key: key})
+		call.Close(simulator.Result{Outcome: simulator.OutcomeRefused})
+		responder.Fail(w, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
 	execution := s.execute(key)
 	call := life.Open(simulator.Call{
 		Request:   r.Header.Get(headerRequest),
-		Customer:  identifier.Digest(""),
 		Method:    r.Method,
 		Path:      path,
 		Key:       key,
 		Execution: execution,
 	})
-	life.Start()
-	if !s.work(r.Context()) {
+	if !s.work(r.Context(), life.Warmth()) {
 		life.Finish(false)
-		call.Close(brokenOutcome(life), 0)
+		call.Close(simulator.Result{Outcome: brokenOutcome(life)})
 		panic(http.ErrAbortHandler)
 	}
 	life.Finish(true)
-	call.Close(simulator.OutcomeComplete, 0)
+	call.Close(simulator.Result{Outcome: simulator.OutcomeComplete})
 	w.Header().Set("Content-Type", "application/json")
 	// The peer may be gone; then nobody reads the answer.
 	_, _ = w.Write(answer(r.Method, path, body, execution))
@@ -137,8 +149,9 @@
 	return s.executions[key]
 }
 
-func (s *Server) work(ctx context.Context) bool {
-	latency := time.Duration(float64(s.cfg.Latency) * s.simulator.SlowFactor())
+func (s *Server) work(ctx context.Context, warmth float64) bool {
+	factor := s.simulator.SlowFactor() * (1 + (s.cfg.ColdFactor-1)*(1-warmth))
+	latency := time.Duration(float64(s.cfg.Latency) * factor)
 	return simulator.Pause(ctx, latency) && s.simulator.AwaitStall(ctx)
 }
 
