Stop the demo at once when it is interrupted

Cause: an interrupted demo went on to the next part of its schedule and reported a failed change instead of the interruption. Ruled out: a separate watcher that ends the process, which would leave processes to the parent-death signal. Change: the schedule is a list of steps, and the demo checks for the interruption after each. A test interrupts the demo and looks for processes left behind. Conclusion: make demo can be interrupted at any time.

--- a/internal/prover/demonstrator/demonstrator.go
+++ b/internal/prover/demonstrator/demonstrator.go
@@ -136,22 +136,46 @@
 	stopProgress := d.reportProgress(load)
 	defer stopProgress()
 
-	d.say("morning: many short requests")
-	load.run(morning, d.cfg.Schedule.Morning)
-	d.say("evening: fewer and longer requests")
-	load.run(evening, d.cfg.Schedule.EveningBefore)
-	domain := d.domain()
-	if err := d.change(ctx, domain, launcher.StateOut, &d.left); err != nil {
-		return err
-	}
-	load.run(evening, d.cfg.Schedule.EveningOut)
-	if err := d.change(ctx, domain, launcher.StateIn, &d.returned); err != nil {
+	if err := d.follow(ctx, load); err != nil {
 		return err
 	}
-	load.run(evening, d.cfg.Schedule.EveningAfter)
 	d.say("waiting for open requests")
 	load.finish(finishPeriod)
-	return errors.Wrap(ctx.Err(), "the demo took too long")
+	return errors.Wrap(ctx.Err(), "the demo was interrupted or took too long")
+}
+
+// follow follows the schedule until its end or until the demo is interrupted.
+func (d *Demo) follow(ctx context.Context, load *load) error {
+	domain := d.domain()
+	steps := []struct {
+		announce string
+		mix      mix
+		period   time.Duration
+		then     func() error
+	}{
+		{"morning: many short requests", morning, d.cfg.Schedule.Morning, nil},
+		{"evening: fewer and longer requests", evening, d.cfg.Schedule.EveningBefore, func() error {
+			return d.change(ctx, domain, launcher.StateOut, &d.left)
+		}},
+		{"evening without " + domain, evening, d.cfg.Schedule.EveningOut, func() error {
+			return d.change(ctx, domain, launcher.StateIn, &d.returned)
+		}},
+		{"evening with all failure domains", evening, d.cfg.Schedule.EveningAfter, nil},
+	}
+	for _, step := range steps {
+		d.say("%s", step.announce)
+		load.run(step.mix, step.period)
+		if err := ctx.Err(); err != nil {
+			return errors.Wrap(err, "the demo was interrupted or took too long")
+		}
+		if step.then == nil {
+			continue
+		}
+		if err := step.then(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // domain returns the failure domain that leaves. It is not the first one, whose entry takes the operators' changes.
--- a/internal/prover/demonstrator/demonstrator_test.go
+++ b/internal/prover/demonstrator/demonstrator_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -75,6 +77,57 @@
 	require.Contains(t, output, "violation: G7")
 }
 
+// Guards against an interrupted demo that goes on, or that leaves processes behind.
+func TestInterruptedDemo(t *testing.T) {
+	t.Setenv(roleVariable, roleSound)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	plan := launcher.KeCentral()
+	plan.Entries = 1
+	output := &watcher{until: "morning", call: cancel}
+	started := time.Now()
+	err := demonstrator.Run(ctx, demonstrator.Config{
+		Binaries: launcher.Binaries{Product: os.Args[0], Standin: os.Args[0]},
+		Plan:     plan,
+		Schedule: demonstrator.Schedule{Morning: time.Hour},
+		Output:   output,
+	})
+	require.ErrorIs(t, err, context.Canceled)
+	require.NotContains(t, output.String(), "evening")
+	require.Less(t, time.Since(started), time.Minute)
+	require.Empty(t, children(t))
+}
+
+// watcher calls a function once a text has been written.
+type watcher struct {
+	bytes.Buffer
+	until string
+	call  func()
+}
+
+func (w *watcher) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), w.until) {
+		w.call()
+	}
+	return w.Buffer.Write(p)
+}
+
+// children returns the processes that this one started and that have not ended.
+func children(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob("/proc/self/task/*/children")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	var found []string
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err == nil {
+			found = append(found, strings.Fields(string(raw))...)
+		}
+	}
+	return found
+}
+
 // Guards against a demo without binaries that reports success.
 func TestDemoThatDoesNotStart(t *testing.T) {
 	var output bytes.Buffer
