Catalogue pages of events and metrics, checked against the program

Operators find log lines by number and metrics by name, and a page that is kept by hand goes stale. Generating the pages was ruled out because fields, meaning and advice are not in the code. docs/events.md and docs/metrics.md are compared with logger.Catalogue and the new meter.Catalogue; a further test finds metric names that the list lacks.

--- /dev/null
+++ b/internal/process/meter/catalogue.go
@@ -0,0 +1,43 @@
+package meter
+
+// Type tells how the value of a metric changes.
+type Type string
+
+// The types of metrics.
+const (
+	TypeCounter Type = "counter"
+	TypeGauge   Type = "gauge"
+)
+
+// Described is one row of the catalogue of metrics.
+type Described struct {
+	Name Name
+	Type Type
+	Unit string
+}
+
+// Catalogue returns all metrics. docs/metrics.md explains them in the same order.
+func Catalogue() []Described {
+	return []Described{
+		{RequestsComplete, TypeCounter, "requests"},
+		{RequestsNotRun, TypeCounter, "requests"},
+		{RequestsUnknown, TypeCounter, "requests"},
+		{RequestsCancelled, TypeCounter, "requests"},
+		{RequestsOpen, TypeGauge, "requests"},
+		{StreamsResumed, TypeCounter, "attempts"},
+		{StreamsReattached, TypeCounter, "connections"},
+		{LinksUp, TypeCounter, "links"},
+		{LinksLost, TypeCounter, "links"},
+		{ConfigRevision, TypeGauge, "revision"},
+		{ConfigAdopted, TypeCounter, "adoptions"},
+		{PlatformFailures, TypeCounter, "operations"},
+		{Dispatched, TypeCounter, "requests"},
+		{UpstreamFailures, TypeCounter, "failures"},
+		{UpstreamRunning, TypeGauge, "requests"},
+		{UpstreamLimit, TypeGauge, "requests"},
+		{CreditsGranted, TypeGauge, "credits"},
+		{ClaimsWon, TypeCounter, "claims"},
+		{ClaimsHeld, TypeCounter, "claims"},
+		{ClaimsUnsure, TypeCounter, "claims"},
+	}
+}
