Check the keys of the start example too

The test now names the expected number for each file and also covers entry.hujson, so it checks more than before. go test -race of the package passes; there are no other figures.

--- a/internal/version/declarer/examples_test.go
+++ b/internal/version/declarer/examples_test.go
@@ -65,10 +65,10 @@
 // Guards against a digest in the examples that is not that of the key in the comment above it.
 func TestExampleKeys(t *testing.T) {
 	t.Parallel()
-	for _, file := range []string{"entries.hujson", "resources.hujson"} {
+	for file, count := range map[string]int{"entries.hujson": 2, "entry.hujson": 1, "resources.hujson": 3} {
 		paths, err := filepath.Glob(filepath.Join("..", "..", "..", "examples", "*", file))
 		require.NoError(t, err)
-		require.Len(t, paths, 2)
+		require.Len(t, paths, count)
 		for _, path := range paths {
 			text, err := os.ReadFile(path)
 			require.NoError(t, err)
