Weigh twice as many experts and ranks for each move

Cause: 64 ranks missed the skew target. Change: the candidates of a move are the 12 instead of 6 hottest experts and the 12 instead of 6 coolest ranks.

--- a/internal/version/placer/improve.go
+++ b/internal/version/placer/improve.go
@@ -4,8 +4,8 @@
 
 const (
 	// hotExperts and coolRanks bound the candidates of one move.
-	hotExperts = 6
-	coolRanks  = 6
+	hotExperts = 12
+	coolRanks  = 12
 	// worthwhile is the factor by which a move must lower the score to be made.
 	worthwhile = 0.999
 	// gatheredPenalty is the score factor of a move that leaves all replicas of an expert in one failure
