Let failure domains decide only between moves of similar effect

Cause: the penalty of 5% on a score that sums 64 ranks is larger than the gain of relieving one rank, so it blocked moves. Ruled out: no penalty at all, which would let a failure domain gather all replicas of an expert for nothing.

--- a/internal/version/placer/improve.go
+++ b/internal/version/placer/improve.go
@@ -10,7 +10,7 @@
 	worthwhile = 0.999
 	// gatheredPenalty is the score factor of a move that leaves all replicas of an expert in one failure
 	// domain; it decides between moves of similar effect.
-	gatheredPenalty = 1.05
+	gatheredPenalty = 1.005
 	// hotMargin is how far below the slowest rank a rank still counts as slow.
 	hotMargin = 0.995
 )
