--- /dev/null
+++ b/internal/connection/granter/liveness_test.go
@@ -0,0 +1,93 @@
+package granter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantledge.example/currantledge/internal/connection/granter"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+// Guards against accounting that drifts over drains, returns, lost links and expiry, after which waiting requests get
+// no credit although the upstream is idle.
+func TestIdleUpstreamGrantsAfterAnySequence(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		g := granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: 4, Warm: 8, WarmAfter: 5}})
+		now := start
+		entries := []identifier.Node{"e0", "e1", "e2"}
+		customers := []identifier.Customer{"c0", "c1"}
+		type held struct {
+			entry identifier.Node
+			grant messenger.Grant
+		}
+		var grants []held
+		var running []identifier.Request
+		keep := func(issues []granter.Issue) {
+			for _, i := range issues {
+				for range i.Grant.Credits {
+					grants = append(grants, held{i.Entry, i.Grant})
+				}
+			}
+		}
+		for range rapid.IntRange(0, 80).Draw(t, "steps") {
+			entry := rapid.SampledFrom(entries).Draw(t, "entry")
+			customer := rapid.SampledFrom(customers).Draw(t, "customer")
+			switch rapid.SampledFrom([]string{"demand", "admit", "finish", "return", "forget", "drain", "tick", "cool"}).Draw(t, "step") {
+			case "demand":
+				keep(g.Demand(now, entry, []messenger.CustomerDemand{{Customer: customer, Waiting: rapid.IntRange(0, 5).Draw(t, "waiting")}}))
+			case "admit":
+				if len(grants) == 0 {
+					continue
+				}
+				h := grants[0]
+				grants = grants[1:]
+				id := identifier.NewRequest()
+				if g.Admit(now, h.entry, granter.Admission{Request: id, Customer: h.grant.Customer, Incarnation: incarnation, Serial: h.grant.Serial}) == "" {
+					running = append(running, id)
+				}
+			case "finish":
+				if len(running) > 0 {
+					keep(g.Finish(now, running[0], rapid.Bool().Draw(t, "success")))
+					running = running[1:]
+				}
+			case "return":
+				if len(grants) > 0 {
+					keep(g.Return(now, grants[0].entry, messenger.ReturnGrant{Serial: grants[0].grant.Serial, Credits: 1}))
+					grants = grants[1:]
+				}
+			case "forget":
+				keep(g.Forget(now, entry))
+			case "drain":
+				g.Drain(rapid.Bool().Draw(t, "draining"))
+			case "cool":
+				g.Cool(now, "test")
+			case "tick":
+				now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				keep(g.Tick(now))
+			}
+		}
+		for _, id := range running {
+			g.Finish(now, id, true)
+		}
+		g.Drain(false)
+		for _, e := range entries {
+			for _, c := range customers {
+				g.Demand(now, e, []messenger.CustomerDemand{{Customer: c}})
+			}
+		}
+		now = now.Add(1500 * time.Millisecond)
+		g.Tick(now)
+		now = now.Add(1500 * time.Millisecond)
+		g.Tick(now)
+		issues := g.Demand(now, "e0", []messenger.CustomerDemand{{Customer: "c0", Waiting: 1}})
+		standing := g.Load().Granted
+		require.True(t, len(issues) > 0 || standing > 0, "no credit for the only waiting request: %+v", g.Load())
+		require.LessOrEqual(t, int(g.Load().Granted), 8)
+		require.Zero(t, g.Load().Running)
+	})
+}
--- a/internal/process/agentrunner/admission.go
+++ b/internal/process/agentrunner/admission.go
@@ -52,6 +52,8 @@
 		m.agent.log.Event(logger.EventLimitChanged).Int("limit", int(limit)).Str("coldReason", cause).Send()
 	}
 	for _, issue := range issues {
+		m.agent.log.Event(logger.EventGranted).Str("entry", string(issue.Entry)).Int("credits", int(issue.Grant.Credits)).
+			Bool("standing", issue.Grant.Standing).Send()
 		m.agent.links.post(issue.Entry, issue.Grant)
 	}
 }
--- a/internal/prover/launcher/deployment.go
+++ b/internal/prover/launcher/deployment.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	proxyAttempts = 5
 	// parallelStarts bounds how many processes start at once, since a start takes a whole core for a moment.
 	parallelStarts = 8
 	// seedEntries is the number of entries whose addresses a node gets in its settings.
@@ -259,11 +260,7 @@
 	if !d.Plan.Interpose(link) {
 		return target, nil
 	}
-	listen, err := d.launcher.Address(host)
-	if err != nil {
-		return "", err
-	}
-	proxy, err := interposer.New(interposer.Config{Network: network, Listen: listen, Target: target, Seed: d.Plan.Seed})
+	proxy, err := d.newProxy(network, host, target)
 	if err != nil {
 		return "", err
 	}
@@ -271,6 +268,24 @@
 	return proxy.Address(), nil
 }
 
+// newProxy tries further ports if one that was free is taken. A process that is being started briefly holds copies of
+// the sockets with which ports are tested.
+func (d *Deployment) newProxy(network interposer.Network, host, target string) (*interposer.Proxy, error) {
+	var last error
+	for range proxyAttempts {
+		listen, err := d.launcher.Address(host)
+		if err != nil {
+			return nil, err
+		}
+		proxy, err := interposer.New(interposer.Config{Network: network, Listen: listen, Target: target, Seed: d.Plan.Seed})
+		if err == nil {
+			return proxy, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 func (d *Deployment) makeKeys(ctx context.Context) error {
 	args := []string{"keygen", "--out", d.keyFolder()}
 	for _, e := range d.Entries {
--- a/internal/prover/verifier/change_test.go
+++ b/internal/prover/verifier/change_test.go
@@ -40,7 +40,9 @@
 // domains can bear the load; and against a domain that stays unused after its return.
 func TestFailureDomainLeavesAndReturns(t *testing.T) {
 	t.Parallel()
-	s := newSite(t, smallPlan())
+	plan := smallPlan()
+	plan.LogLevel = "debug"
+	s := newSite(t, plan)
 	out := s.Plan.FailureDomains[1]
 	_, agents := s.Domain(out)
 	s.load.Go(func() { s.loadFor(12 * time.Second) })
