--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 type Config struct {
 	Link linker.Config
 	Log  *logger.Logger
+	// Listen is the node's own fleet address. Connections come from its IP address, so that peers and networks see
+	// one address for each node.
+	Listen string
 	// Serve uses an established link until it is down.
 	Serve func(ctx context.Context, link *linker.Link) error
 }
@@ -90,7 +94,16 @@
 func (d *Dialer) once(ctx context.Context, address string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(dialCtx, address, d.cfg.Link.Credentials.ClientTLS(), linker.QUIC())
+	transport, err := d.open()
+	if err != nil {
+		return err
+	}
+	defer closeTransport(transport)
+	peer, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return errors.Wrapf(err, "read address %s; write it as IP:port", address)
+	}
+	conn, err := transport.Dial(dialCtx, peer, d.cfg.Link.Credentials.ClientTLS(), linker.QUIC())
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
@@ -103,6 +116,25 @@
 	return d.cfg.Serve(ctx, link)
 }
 
+// open opens a socket on a free port of the node's own address.
+func (d *Dialer) open() (*quic.Transport, error) {
+	host, _, err := net.SplitHostPort(d.cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read fleet address %s; write it as IP:port", d.cfg.Listen)
+	}
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(host)})
+	if err != nil {
+		return nil, errors.Wrap(err, "open a UDP socket for a link")
+	}
+	return &quic.Transport{Conn: socket}, nil
+}
+
+func closeTransport(t *quic.Transport) {
+	// Both are used by nothing else any more; errors change nothing.
+	_ = t.Close()
+	_ = t.Conn.Close()
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -102,7 +102,7 @@
 		Table: a.platform, Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
 	})
 	a.distributor = distributor.New(distributor.Config{Store: a.store, Log: a.log, Adopted: a.adopted})
-	a.peers = dialer.New(dialer.Config{Link: a.linkConfig(), Log: a.log, Serve: a.servePeer})
+	a.peers = dialer.New(dialer.Config{Link: a.linkConfig(), Log: a.log, Listen: s.Fleet, Serve: a.servePeer})
 	a.publish(metrics)
 	return a, nil
 }
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -104,8 +104,8 @@
 		Policy: policy(s.Routing),
 	})
 	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat}
-	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveAgent})
-	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Serve: e.serveEntry})
+	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveAgent})
+	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveEntry})
 	metrics.Gauge(meter.RequestsOpen, func() int64 { return int64(e.dispatcher.Open()) })
 	metrics.Gauge(meter.ConfigRevision, func() int64 { return int64(e.store.Revision()) })
 	e.http, err = newCallers(e)
