Test that only the fleet's nodes link

Ruled out: a test of the TLS configuration alone, which would not see a node that greets under another name. Change: links of a node of the fleet, of a stranger's key, and under another name and role. Conclusion: a process without the fleet's keys does not link.

--- /dev/null
+++ b/internal/connection/listener/listener_test.go
@@ -0,0 +1,88 @@
+package listener_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/authenticator"
+	"currantledge.example/currantledge/internal/connection/dialer"
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/connection/listener"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+)
+
+func authority(t *testing.T) authenticator.Pair {
+	t.Helper()
+	pair, err := authenticator.NewAuthority(time.Now())
+	require.NoError(t, err)
+	return pair
+}
+
+func config(t *testing.T, from authenticator.Pair, certified, greeted authenticator.Identity) linker.Config {
+	t.Helper()
+	pair, err := authenticator.Issue(from, certified, time.Now())
+	require.NoError(t, err)
+	credentials, err := authenticator.New(from.Certificate, pair)
+	require.NoError(t, err)
+	return linker.Config{
+		Credentials: credentials,
+		Hello:       func() messenger.Hello { return messenger.Hello{Node: greeted.Node, Role: greeted.Role} },
+		Heartbeat:   func() messenger.Heartbeat { return messenger.Heartbeat{} },
+	}
+}
+
+// Guards against processes that link to the fleet without its keys, or under another name or role than their key's.
+func TestOnlyTheFleetsNodesLink(t *testing.T) {
+	t.Parallel()
+	fleet, stranger := authority(t), authority(t)
+	entry := authenticator.Identity{Node: "entry-1", Role: identifier.RoleEntry}
+	agent := authenticator.Identity{Node: "agent-1", Role: identifier.RoleAgent}
+	tests := []struct {
+		name               string
+		from               authenticator.Pair
+		certified, greeted authenticator.Identity
+		links              bool
+	}{
+		{"node of the fleet", fleet, entry, entry, true},
+		{"key of another authority", stranger, entry, entry, false},
+		{"another node's name", fleet, agent, authenticator.Identity{Node: "agent-2", Role: identifier.RoleAgent}, false},
+		{"another role", fleet, agent, authenticator.Identity{Node: "agent-1", Role: identifier.RoleEntry}, false},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			address := []string{"127.0.0.1:20901", "127.0.0.1:20902", "127.0.0.1:20903", "127.0.0.1:20904"}[i]
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			served := make(chan *linker.Link, 1)
+			l, err := listener.New(listener.Config{
+				Address: address, Log: logger.Discard(), Link: config(t, fleet, agent, agent),
+				Serve: func(_ context.Context, link *linker.Link) error {
+					served <- link
+					return nil
+				},
+			})
+			require.NoError(t, err)
+			go func() { _ = l.Run(ctx) }()
+			d := dialer.New(dialer.Config{
+				Log: logger.Discard(), Listen: "127.0.0.1:0", Link: config(t, test.from, test.certified, test.greeted),
+				Serve: func(ctx context.Context, _ *linker.Link) error {
+					<-ctx.Done()
+					return nil
+				},
+			})
+			d.Want(ctx, []string{address})
+			select {
+			case link := <-served:
+				require.True(t, test.links, "%v has linked", link.Peer())
+			case <-ctx.Done():
+				require.False(t, test.links, "no link")
+			}
+		})
+	}
+}
