Claim idempotency keys in the table before a call starts

Cause: a call with an Idempotency-Key must run at most once in the fleet, also when a table response is lost, late or stale and when agents are killed. Ruled out: plain reads to resolve a lost write, which may be stale, so the conditional write is repeated instead and its conflict shows the current row; deleting a row on release, which starts its versions anew and lets a late write of an earlier claim take effect.

--- /dev/null
+++ b/internal/request/claimer/record.go
@@ -0,0 +1,118 @@
+package claimer
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/process/identifier"
+)
+
+type state string
+
+const (
+	stateClaimed      state = "claimed"
+	stateCompleted    state = "completed"
+	stateNeverStarted state = "neverStarted"
+)
+
+// record is the content of a claim row.
+type record struct {
+	state   state
+	owner   owner
+	request identifier.Request
+	attempt identifier.Attempt
+	digest  identifier.Digest
+	at      time.Time
+	answer  Answer
+	// object names the body in the object store when it is too large for the row, and bodyDigest is its SHA-256.
+	object     string
+	bodyDigest identifier.Digest
+}
+
+type wireHeader struct {
+	Name  string `cbor:"name"`
+	Value string `cbor:"value"`
+}
+
+type wireRecord struct {
+	State       string       `cbor:"state"`
+	Node        string       `cbor:"node"`
+	Incarnation uint64       `cbor:"incarnation"`
+	Serial      uint64       `cbor:"serial"`
+	Request     []byte       `cbor:"request"`
+	Attempt     uint32       `cbor:"attempt"`
+	Digest      string       `cbor:"digest"`
+	TimeNanos   int64        `cbor:"timeNanos"`
+	Status      int          `cbor:"status,omitempty"`
+	Headers     []wireHeader `cbor:"headers,omitempty"`
+	Body        []byte       `cbor:"body,omitempty"`
+	Object      string       `cbor:"object,omitempty"`
+	BodyDigest  string       `cbor:"bodyDigest,omitempty"`
+}
+
+func encodeRecord(r record) []byte {
+	w := wireRecord{
+		State:       string(r.state),
+		Node:        string(r.owner.node),
+		Incarnation: uint64(r.owner.incarnation),
+		Serial:      r.owner.serial,
+		Request:     r.request[:],
+		Attempt:     uint32(r.attempt),
+		Digest:      string(r.digest),
+		TimeNanos:   r.at.UnixNano(),
+		Status:      r.answer.Status,
+		Body:        r.answer.Body,
+		Object:      r.object,
+		BodyDigest:  string(r.bodyDigest),
+	}
+	for _, h := range r.answer.Headers {
+		w.Headers = append(w.Headers, wireHeader{Name: h.Name, Value: h.Value})
+	}
+	raw, err := cbor.Marshal(w)
+	if err != nil {
+		// Every field has a CBOR form, so this is a fault of the type.
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode claim row"))
+	}
+	return raw
+}
+
+func decodeRecord(raw []byte) (record, error) {
+	var w wireRecord
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return record{}, errors.Wrap(err, "claim row is unreadable; run the same version of currantledge on all agents")
+	}
+	r := record{
+		state:      state(w.State),
+		owner:      owner{identifier.Node(w.Node), identifier.Incarnation(w.Incarnation), w.Serial},
+		attempt:    identifier.Attempt(w.Attempt),
+		digest:     identifier.Digest(w.Digest),
+		at:         time.Unix(0, w.TimeNanos),
+		answer:     Answer{Status: w.Status, Body: w.Body},
+		object:     w.Object,
+		bodyDigest: identifier.Digest(w.BodyDigest),
+	}
+	copy(r.request[:], w.Request)
+	for _, h := range w.Headers {
+		r.answer.Headers = append(r.answer.Headers, messenger.Header{Name: h.Name, Value: h.Value})
+	}
+	switch r.state {
+	case stateClaimed, stateCompleted, stateNeverStarted:
+		return r, nil
+	}
+	return record{}, errors.Newf("claim row has the unknown state %q; run the same version of currantledge on all agents", w.State)
+}
+
+// rowKey names the row of a key. Keys are hashed, since they are chosen by callers and must not appear anywhere.
+func rowKey(customer identifier.Customer, key identifier.Key) string {
+	return "claim/" + string(customer) + "/" + string(sha256Hex([]byte(key)))
+}
+
+func sha256Hex(raw []byte) identifier.Digest {
+	sum := sha256.Sum256(raw)
+	return identifier.Digest(hex.EncodeToString(sum[:]))
+}
