Run keyed calls at most once; ask the preferred upstream first

Cause of the first part: keyed calls were refused until claims existed. Ruled out: the granter (20000 sequences of a liveness test), a drain that stays (agents report draining=false, limit 16, waiting=0), and stale configuration (revision is current at all nodes).

--- a/internal/process/adapter/adapter.go
+++ b/internal/process/adapter/adapter.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/storer"
+	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/version/configurer"
 )
 
@@ -51,3 +52,28 @@
 	}
 	return out
 }
+
+// claimTable is the table as claims use it.
+type claimTable struct{ client *storer.Client }
+
+// Claims returns the table as the claimer uses it.
+func Claims(client *storer.Client) claimer.Table {
+	return claimTable{client: client}
+}
+
+// Transact applies all writes if all conditions hold.
+func (t claimTable) Transact(
+	ctx context.Context, conditions []claimer.Condition, writes []claimer.Write,
+) (map[string]uint64, error) {
+	versions, err := t.client.Transact(ctx,
+		convert(conditions, func(c claimer.Condition) storer.Condition { return storer.Condition(c) }),
+		convert(writes, func(w claimer.Write) storer.Write { return storer.Write{Key: w.Key, Value: w.Value} }),
+	)
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		return nil, &claimer.ConflictError{
+			Rows: convert(conflict.Rows, func(r storer.Row) claimer.Row { return claimer.Row(r) }),
+		}
+	}
+	return versions, err
+}
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"currantledge.example/currantledge/internal/connection/listener"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/connection/storer"
+	"currantledge.example/currantledge/internal/process/adapter"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/process/logger"
@@ -64,6 +66,8 @@
 	links       *links
 	peers       *dialer.Dialer
 	stopping    atomic.Bool
+	// records counts the writes of answers that are under way.
+	records sync.WaitGroup
 }
 
 // Run runs an agent until ctx ends, then stops it gracefully.
@@ -99,7 +103,7 @@
 	a.admission = newAdmission(a)
 	a.upstream = newUpstream(a)
 	a.claims = claimer.New(claimer.Config{
-		Table: a.platform, Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
+		Table: adapter.Claims(a.platform), Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
 	})
 	a.distributor = distributor.New(distributor.Config{Store: a.store, Log: a.log, Adopted: a.adopted})
 	a.peers = dialer.New(dialer.Config{Link: a.linkConfig(), Log: a.log, Listen: s.Fleet, Serve: a.servePeer})
@@ -133,7 +137,6 @@
 	group.Add(fleet.Run)
 	group.Add(a.tick)
 	group.Add(a.upstream.watch)
-	group.Add(a.claims.Run)
 	group.Add(a.dialPeers)
 	if a.settings.Metrics != "" {
 		metrics, err := net.Listen("tcp", a.settings.Metrics)
@@ -146,6 +149,7 @@
 	a.log.Event(logger.EventStarted).Str("upstream", string(a.settings.Upstream)).Str("fleet", a.settings.Fleet).Send()
 	err = group.Run()
 	a.peers.Wait()
+	a.claims.Close()
 	a.log.Event(logger.EventStopped).Send()
 	return err
 }
@@ -182,9 +186,25 @@
 	defer cancel()
 	// Answers that nobody has acknowledged by then belong to entries that are gone.
 	_ = a.answers.Wait(ackCtx)
+	a.awaitRecords(ackCtx)
 	return nil
 }
 
+// awaitRecords waits until answers of keyed calls are in the table. A claim without its answer would tell callers
+// that send again that the outcome is unknown.
+func (a *Agent) awaitRecords(ctx context.Context) {
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		a.records.Wait()
+	}()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+		a.log.Event(logger.EventPlatformFailed).Str("operation", "recordAnswer").Str("cause", "stopping").Send()
+	}
+}
+
 // wait reports false if ctx ended first.
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -60,32 +60,42 @@
 	}
 }
 
-// claim claims the key of a call that must not run twice. It returns the refusal if another attempt holds it.
-func (r *run) claim() messenger.Message {
+// claim claims the key of a call that must not run twice. It returns the refusal if another attempt holds it, and the
+// recorded answer if the call has run.
+func (r *run) claim() (messenger.Message, *claimer.Answer) {
 	if !r.keyed() {
-		return nil
+		return nil, nil
 	}
 	verdict, err := r.agent.claims.Claim(context.Background(), r.call())
 	if err != nil {
 		r.agent.log.Event(logger.EventClaimUnsure).Stringer("request", r.dispatch.Request).AnErr("cause", err).Send()
-		return messenger.Refused{Reason: messenger.ReasonTableDown, RetryAfter: retryAfter}
+		return messenger.Refused{Reason: messenger.ReasonTableDown, RetryAfter: retryAfter}, nil
 	}
 	switch v := verdict.(type) {
 	case claimer.Won:
 		r.agent.log.Decide(logger.Decision{
 			Event: logger.EventClaimed, Request: r.dispatch.Request, Choice: string(r.agent.settings.Upstream), Reason: "firstClaim",
 		})
-		return nil
+		return nil, nil
 	case claimer.Held:
-		return messenger.ClaimHeld{Node: v.Node, Incarnation: v.Incarnation}
+		return messenger.ClaimHeld{Node: v.Node, Incarnation: v.Incarnation}, nil
 	case claimer.Recorded:
-		return messenger.ClaimHeld{Node: r.agent.settings.Node, Incarnation: r.agent.incarnation}
+		return nil, &v.Answer
 	case claimer.Mismatch:
-		return messenger.Refused{Reason: messenger.ReasonKeyMismatch}
-	default:
-		r.agent.log.Event(logger.EventClaimUnsure).Stringer("request", r.dispatch.Request).Send()
-		return messenger.Refused{Reason: messenger.ReasonTableDown, RetryAfter: retryAfter}
+		return messenger.Refused{Reason: messenger.ReasonKeyMismatch}, nil
+	case claimer.Unsure:
+		return r.unsure(v), nil
 	}
+	return messenger.Refused{Reason: messenger.ReasonTableDown, RetryAfter: retryAfter}, nil
+}
+
+// unsure tells the outcome after the table did not answer. This attempt has not started, but an earlier one may have.
+func (r *run) unsure(v claimer.Unsure) messenger.Message {
+	r.agent.log.Event(logger.EventClaimUnsure).Stringer("request", r.dispatch.Request).AnErr("cause", v.Cause).Send()
+	if v.MayHaveRun {
+		return messenger.Broken{Reason: messenger.ReasonClaimUnresolved, MayHaveRun: true}
+	}
+	return messenger.Refused{Reason: messenger.ReasonTableDown, RetryAfter: retryAfter}
 }
 
 // execute runs the request on the upstream and ends its answer.
@@ -184,7 +194,7 @@
 func (r *run) complete() {
 	if r.keyed() {
 		answer := claimer.Answer{Status: r.status, Headers: r.headers, Body: r.body}
-		go r.record(answer)
+		r.agent.records.Go(func() { r.record(answer) })
 	}
 	r.buffer.Finish()
 }
@@ -201,11 +211,11 @@
 		r.agent.admission.cool("upstream refuses connections")
 	}
 	if r.keyed() {
-		go func() {
+		r.agent.records.Go(func() {
 			if err := r.agent.claims.Release(context.Background(), r.call()); err != nil {
 				r.agent.log.Event(logger.EventPlatformFailed).Str("operation", "releaseClaim").AnErr("cause", err).Send()
 			}
-		}()
+		})
 	}
 	r.buffer.Fail(cause.Reason, false)
 }
--- a/internal/process/agentrunner/streams.go
+++ b/internal/process/agentrunner/streams.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/explainer"
@@ -49,18 +52,44 @@
 	}
 	r := &run{agent: a, dispatch: d, buffer: buffer}
 	a.upstream.begin(r)
-	if refusal := r.claim(); refusal != nil {
-		a.upstream.end(r)
-		a.admission.finish(d, false)
+	refusal, recorded := r.claim()
+	switch {
+	case refusal != nil:
+		a.abandon(r)
 		// An entry that attaches after a lost connection learns that nothing ran and dispatches again.
 		buffer.Fail(messenger.ReasonWithdrawn, false)
-		_ = stream.Send(refusal)
+		a.refuse(stream, r, refusal)
 		return
+	case recorded != nil:
+		a.abandon(r)
+		// A long answer fits into the buffer only as the entry acknowledges it.
+		go fill(ctx, buffer, messenger.Head{
+			Request: d.Request, Customer: d.Customer, Status: recorded.Status, Headers: recorded.Headers,
+		}, recorded.Body)
+	default:
+		go r.execute()
 	}
-	go r.execute()
 	a.send(ctx, stream, buffer, attempt{d.Request, d.Attempt, d.Customer, r}, 0)
 }
 
+// abandon gives back what an attempt that does not start holds.
+func (a *Agent) abandon(r *run) {
+	a.upstream.end(r)
+	a.admission.finish(r.dispatch, false)
+}
+
+// refuse sends a refusal and forgets the attempt once the entry has it.
+func (a *Agent) refuse(stream *linker.Stream, r *run, refusal messenger.Message) {
+	if err := stream.Send(refusal); err != nil {
+		return
+	}
+	stream.Finish()
+	// The entry closes its side when it has read the refusal.
+	if _, err := stream.Receive(); errors.Is(err, io.EOF) {
+		a.answers.Remove(r.dispatch.Request, r.dispatch.Attempt, r.dispatch.Customer)
+	}
+}
+
 // attach goes on with an answer from an offset. An unknown attempt is recorded as failed, so that a dispatch that is
 // still on its way never starts.
 func (a *Agent) attach(ctx context.Context, stream *linker.Stream, m messenger.Attach) {
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -11,8 +11,11 @@
 )
 
 const (
+	// aloneFor is how long a request asks its preferred upstream alone. Without it, standing credits of other
+	// upstreams would take every request before an upstream that returns to service is ever asked.
+	aloneFor   = 5 * time.Millisecond
 	firstWidth = 2
-	// widenAfter is how long a request asks its preferred upstreams alone. It is longer than a round trip
+	// widenAfter is how long a request asks two upstreams. It is longer than a round trip
 	// within a region, so that an idle preferred upstream is not passed over.
 	widenAfter = 20 * time.Millisecond
 	// wideAfter is when a request asks all its upstreams.
@@ -221,6 +224,8 @@
 	}
 	waited := now.Sub(w.since)
 	switch {
+	case waited < aloneFor:
+		return min(1, len(w.Candidates))
 	case waited < widenAfter:
 		return min(firstWidth, len(w.Candidates))
 	case waited < wideAfter:
