--- a/internal/version/switcher/switcher_test.go
+++ b/internal/version/switcher/switcher_test.go
@@ -192,3 +192,35 @@
 	require.NotEmpty(t, rank.Step(now, switcher.Prepare{Fence: 2, Row: row, Next: next}))
 	require.True(t, rank.Open())
 }
+
+// TestClaimRepeats guards against a new leader that goes on under the fence of an older one, when a rank changed the
+// row during the claim.
+func TestClaimRepeats(t *testing.T) {
+	now := time.Unix(0, 0)
+	leader := switcher.NewLeader(switcher.DefaultLeader(5, 1))
+	leader.Step(now, switcher.RowRead{Row: switcher.Row{Version: 1, Record: switcher.Record{Fence: 4, Last: 1}}})
+	row := switcher.Row{Version: 2, Record: switcher.Record{Fence: 4, Last: 2}}
+	write := leader.Step(now, switcher.RowConflict{Row: row})[0].(switcher.WriteRow)
+	require.Equal(t, switcher.WriteRow{Condition: 2, Record: switcher.Record{Fence: 5, Last: 3}}, write)
+	require.True(t, leader.Busy())
+}
+
+// TestThirdMapWaits guards against a preparation before the committed switch step: a rank that restarts finds only two
+// maps in the row and would have none for the steps before it.
+func TestThirdMapWaits(t *testing.T) {
+	now := time.Unix(0, 0)
+	rank := switcher.NewRank(switcher.DefaultRank(0, 1))
+	rank.Step(now, switcher.EngineReport{Boot: "1", Step: 4})
+	committed := switcher.Scheduled{Version: 2, Step: 10}
+	previous := switcher.Scheduled{Version: 1}
+	record := switcher.Record{Fence: 1, Last: 2, Committed: committed, Previous: previous}
+	write := rank.Step(now, switcher.RowRead{Row: switcher.Row{Version: 2, Record: record}})[0].(switcher.WriteRow)
+	row := switcher.Row{Version: 3, Record: write.Record}
+	rank.Step(now, switcher.RowWritten{Row: row})
+	prepare := switcher.Prepare{Fence: 1, Row: row, Next: switcher.Scheduled{Version: 4, Step: 20}}
+	rank.Step(now, prepare)
+	require.False(t, rank.Open())
+	rank.Step(now, switcher.EngineReport{Boot: "1", Step: 10})
+	rank.Step(now, prepare)
+	require.True(t, rank.Open())
+}
