Add the fault matrix: prover faults

Cause: the guarantees under faults were checked only by single integration tests. Ruled out: go tests for each cell, because cells share deployments and are counted in one closing line. Change: matrixrunner brings a deployment of 3 entries, 3 ranks and 3 service runners to a step, injects a fault there while a load of all kinds goes on, heals it and checks answers, executions, loads, revisions and planned stops from outside. The launcher returns revisions and ETags of changes. make faults runs all cells, make check a part.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 	go run ./cmd/prover test -- -race -timeout 20m ./...
 
 check: lint build test
+	bin/prover faults --part check
+
+faults: build
+	bin/prover faults
 
 demo: build
 	bin/prover demo
--- a/cmd/prover/commands.go
+++ b/cmd/prover/commands.go
@@ -10,6 +10,7 @@
 
 	"currantledge.example/currantledge/internal/prover/demonstrator"
 	"currantledge.example/currantledge/internal/prover/launcher"
+	"currantledge.example/currantledge/internal/prover/matrixrunner"
 	"currantledge.example/currantledge/internal/prover/testrunner"
 )
 
@@ -23,6 +24,7 @@
 	}{
 		{"test", "run go test with the arguments after --", &testCommand{ctx: ctx}},
 		{"demo", "run the demo", &demoCommand{ctx: ctx}},
+		{"faults", "run the fault matrix", &faultsCommand{ctx: ctx}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
@@ -41,6 +43,18 @@
 	return testrunner.Run(c.ctx, testrunner.Config{Args: args, KnownRed: knownRed, Output: os.Stdout})
 }
 
+// findBinaries looks in the folder of this binary unless another one is given.
+func findBinaries(folder string) (launcher.Binaries, error) {
+	if folder == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return launcher.Binaries{}, errors.Wrap(err, "find the folder of this binary; give --binaries")
+		}
+		folder = filepath.Dir(self)
+	}
+	return launcher.FindBinaries(folder)
+}
+
 type demoCommand struct {
 	ctx      context.Context
 	Binaries string `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
@@ -50,15 +64,7 @@
 
 // Execute runs the command.
 func (c *demoCommand) Execute([]string) error {
-	folder := c.Binaries
-	if folder == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "find the folder of this binary; give --binaries")
-		}
-		folder = filepath.Dir(self)
-	}
-	binaries, err := launcher.FindBinaries(folder)
+	binaries, err := findBinaries(c.Binaries)
 	if err != nil {
 		return err
 	}
@@ -71,3 +77,65 @@
 		Output:   os.Stdout,
 	})
 }
+
+// The parts of the fault matrix.
+const (
+	partMatrix = "matrix"
+	partCheck  = "check"
+	partPairs  = "pairs"
+)
+
+type faultsCommand struct {
+	ctx      context.Context
+	Binaries string   `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
+	Seed     uint64   `long:"seed" default:"1" description:"seed of the load and of the network faults"`
+	Cells    []string `long:"cell" description:"run only this cell, FAULT/STEP or FAULT+FAULT/STEP, repeatable"`
+	Part     string   `long:"part" default:"matrix" choice:"matrix" choice:"check" choice:"pairs" description:"what to run"`
+	Parallel int      `long:"parallel" default:"4" description:"number of deployments side by side"`
+	Keep     bool     `long:"keep" description:"keep the folders with settings and logs"`
+}
+
+// Execute runs the command.
+func (c *faultsCommand) Execute([]string) error {
+	binaries, err := findBinaries(c.Binaries)
+	if err != nil {
+		return err
+	}
+	cells, err := c.cells()
+	if err != nil {
+		return err
+	}
+	return matrixrunner.Run(c.ctx, matrixrunner.Config{
+		Binaries: binaries,
+		Cells:    cells,
+		Seed:     c.Seed,
+		Parallel: c.Parallel,
+		Keep:     c.Keep,
+		KnownRed: knownRed,
+		Output:   os.Stdout,
+	})
+}
+
+func (c *faultsCommand) cells() ([]matrixrunner.Cell, error) {
+	if len(c.Cells) > 0 {
+		var cells []matrixrunner.Cell
+		for _, name := range c.Cells {
+			cell, err := matrixrunner.ParseCell(name)
+			if err != nil {
+				return nil, err
+			}
+			cells = append(cells, cell)
+		}
+		return cells, nil
+	}
+	switch c.Part {
+	case partCheck:
+		return matrixrunner.Check(), nil
+	case partPairs:
+		return matrixrunner.Pairs(), nil
+	case partMatrix:
+		return matrixrunner.All(), nil
+	default:
+		return nil, errors.Newf("part %q is unknown", c.Part)
+	}
+}
--- a/internal/prover/launcher/deployment.go
+++ b/internal/prover/launcher/deployment.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 	seedEntries    = 3
 	operatorKey    = "operator-key"
 	requestTimeout = 10 * time.Second
+	revisionHeader = "Currantledge-Revision"
 )
 
 // Node is an entry or an agent of a deployment.
@@ -476,7 +478,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "encode %s/%s", kind, name)
 	}
-	_, err = d.Operate(ctx, http.MethodPut, "/api/v1/"+kind+"/"+url.PathEscape(name), raw)
+	_, err = d.Operate(ctx, http.MethodPut, resourcePath(kind, name), raw)
 	return err
 }
 
@@ -492,25 +494,58 @@
 
 // OperateAt sends a request to the operators' API of an entry.
 func (d *Deployment) OperateAt(ctx context.Context, e *Entry, method, path string, body []byte) ([]byte, error) {
+	_, answer, err := d.operate(ctx, e, method, path, body, "")
+	return answer, err
+}
+
+// Write puts a resource through an entry and returns the revision of the accepted change. A match that is not empty is
+// the ETag that the resource must have.
+func (d *Deployment) Write(ctx context.Context, e *Entry, kind, name string, resource any, match string) (uint64, error) {
+	raw, err := json.Marshal(resource)
+	if err != nil {
+		return 0, errors.Wrapf(err, "encode %s/%s", kind, name)
+	}
+	header, _, err := d.operate(ctx, e, http.MethodPut, resourcePath(kind, name), raw, match)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := strconv.ParseUint(header.Get(revisionHeader), 10, 64)
+	return revision, errors.Wrapf(err, "read the revision of %s/%s", kind, name)
+}
+
+// ETag returns the ETag of a resource at an entry.
+func (d *Deployment) ETag(ctx context.Context, e *Entry, kind, name string) (string, error) {
+	header, _, err := d.operate(ctx, e, http.MethodGet, resourcePath(kind, name), nil, "")
+	return header.Get("ETag"), err
+}
+
+func resourcePath(kind, name string) string {
+	return "/api/v1/" + kind + "/" + url.PathEscape(name)
+}
+
+func (d *Deployment) operate(ctx context.Context, e *Entry, method, path string, body []byte, match string) (http.Header, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, e.OperatorsURL()+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Wrapf(err, "%s %s", method, path)
+		return nil, nil, errors.Wrapf(err, "%s %s", method, path)
 	}
 	request.Header.Set("Authorization", "Bearer "+operatorKey)
 	request.Header.Set("Content-Type", "application/json")
+	if match != "" {
+		request.Header.Set("If-Match", match)
+	}
 	response, err := d.client.Do(request)
 	if err != nil {
-		return nil, errors.Wrapf(err, "%s %s at %s", method, path, e.Name)
+		return nil, nil, errors.Wrapf(err, "%s %s at %s", method, path, e.Name)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
-		return nil, errors.Wrapf(err, "read the response to %s %s at %s", method, path, e.Name)
+		return nil, nil, errors.Wrapf(err, "read the response to %s %s at %s", method, path, e.Name)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		return nil, errors.Newf("%s %s at %s: %s: %s", method, path, e.Name, response.Status, answer)
+		return nil, nil, errors.Newf("%s %s at %s: %s: %s", method, path, e.Name, response.Status, answer)
 	}
-	return answer, nil
+	return response.Header, answer, nil
 }
 
 // awaitNodes waits until every node says that it is ready.
--- a/internal/prover/recorder/judge.go
+++ b/internal/prover/recorder/judge.go
@@ -30,6 +30,9 @@
 	OutcomeAbandoned Outcome = "abandoned"
 )
 
+// DetailErrorEvent is the detail of an answer that broke off with a problem in an error event.
+const DetailErrorEvent = "error event"
+
 // Verdict is the judgement of an exchange.
 type Verdict struct {
 	Exchange *Exchange
@@ -200,7 +203,7 @@
 		if v.Outcome == OutcomeWrong || (v.Outcome == OutcomeNotRun && len(s.text) == 0) {
 			return v
 		}
-		return Verdict{Outcome: OutcomeCut, Cause: v.Cause, Detail: "error event"}
+		return Verdict{Outcome: OutcomeCut, Cause: v.Cause, Detail: DetailErrorEvent}
 	}
 	if e.Failure != nil {
 		return Verdict{Outcome: OutcomeCut, Detail: e.Failure.Error()}
