Count a crash against all requests that were running

Cause: runs that break at the death of an upstream left the running set as soon as one of them had noted the death, and before it had counted the crash against the running digests. Change: the death is found and counted under one lock, for which the other broken runs wait.

--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -44,11 +44,14 @@
 	ready    atomic.Bool
 	stepTime atomic.Int64
 
-	mu      sync.Mutex
-	runs    map[runKey]*run
-	boot    identifier.Boot
+	mu     sync.Mutex
+	runs   map[runKey]*run
+	boot   identifier.Boot
+	failed int
+
+	// deaths is held while a death is found and counted.
+	deaths  sync.Mutex
 	crashed identifier.Boot
-	failed  int
 }
 
 func newUpstream(a *Agent) *upstream {
@@ -147,22 +150,20 @@
 func (u *upstream) broke(ctx context.Context) bool {
 	u.mu.Lock()
 	boot := u.boot
-	counted := boot != "" && u.crashed == boot
 	u.mu.Unlock()
-	if counted {
+	// A run leaves the running set when this returns. If it did so before the death is counted, the death would not be
+	// counted against its digest.
+	u.deaths.Lock()
+	defer u.deaths.Unlock()
+	if boot != "" && u.crashed == boot {
 		return true
 	}
 	if !u.diedSince(ctx, boot) {
 		return false
 	}
-	u.mu.Lock()
-	counted = u.crashed == boot
 	u.crashed = boot
-	u.mu.Unlock()
-	if !counted {
-		u.agent.admission.cool("upstream died")
-		u.agent.admission.crashed()
-	}
+	u.agent.admission.crashed()
+	u.agent.admission.cool("upstream died")
 	return true
 }
 
