Take no revision of a process that is being replaced

Ruled out: a fall at the product; the reports name the time of a restart and revision 0. Change: polls skip a node between the start of the new process and its readiness. Conclusion: a fault of the harness.

--- a/internal/prover/matrixrunner/monitor.go
+++ b/internal/prover/matrixrunner/monitor.go
@@ -68,7 +68,7 @@
 		revision, err := ask(limited)
 		cancel()
 		// A process that was replaced during the poll may be either one.
-		if err == nil && pid == m.site.pid(n) {
+		if err == nil && pid != 0 && pid == m.site.pid(n) {
 			m.add(sample{node: n.Name, pid: pid, asked: asked, revision: revision})
 		}
 	}
--- a/internal/prover/matrixrunner/site.go
+++ b/internal/prover/matrixrunner/site.go
@@ -41,6 +41,8 @@
 	mu    sync.Mutex
 	ready map[*launcher.Entry]bool
 	next  int
+	// replacing holds the nodes whose process is being started again.
+	replacing map[string]bool
 
 	background sync.WaitGroup
 	stop       context.CancelFunc
@@ -76,7 +78,7 @@
 		return nil, errors.Wrap(err, "start the deployment")
 	}
 	log := &recorder.Log{}
-	s := &site{Deployment: d, launcher: l, log: log, caller: recorder.NewCaller(log), ready: map[*launcher.Entry]bool{}}
+	s := &site{Deployment: d, launcher: l, log: log, caller: recorder.NewCaller(log), ready: map[*launcher.Entry]bool{}, replacing: map[string]bool{}}
 	s.monitor = newMonitor(s)
 	running, stop := context.WithCancel(ctx)
 	s.stop = stop
--- a/internal/prover/matrixrunner/trial.go
+++ b/internal/prover/matrixrunner/trial.go
@@ -164,9 +164,13 @@
 	return failed
 }
 
+// pid returns the process id of a node, or 0 while the process is being replaced.
 func (s *site) pid(n *launcher.Node) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.replacing[n.Name] {
+		return 0
+	}
 	return n.Process.PID()
 }
 
@@ -178,11 +182,15 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, startPeriod)
 	defer cancel()
+	t.site.mu.Lock()
+	t.replacing[n.Name] = true
+	t.site.mu.Unlock()
 	if err := t.Restart(limited, &process); err != nil {
 		return err
 	}
 	t.site.mu.Lock()
 	defer t.site.mu.Unlock()
+	delete(t.replacing, n.Name)
 	n.Process = process
 	t.restarted[n.Name] = true
 	return nil
