Refuse a request as not run only if no attempt may have run

Cause: a model request whose engine died was resumed, and if no further attempt started, the caller got the refusal of the last attempt with the outcome notRun. Ruled out: a wrong record, since the same request id is in the engine's record with the outcome crashed. Change: a session remembers that an attempt may have run; from then on a refusal of a later attempt, the end of the attempts, a full queue and the end of the waiting time are answered as unknown.

--- a/internal/prover/verifier/crash_test.go
+++ b/internal/prover/verifier/crash_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
+	"currantledge.example/currantledge/internal/prover/recorder"
 )
 
 // Guards against a crash that is not counted against all requests that ran: the runs break at the same time, and one
@@ -28,3 +29,21 @@
 	s.load.Wait()
 	require.Eventually(t, func() bool { return counted() == running }, spread, 20*time.Millisecond, "%d", counted())
 }
+
+// Guards against a refusal that says "not run" of a request that ran: it makes the only engine fall over, and no
+// further attempt finds one.
+func TestRefusalAfterCrashIsNotCalledNotRun(t *testing.T) {
+	t.Parallel()
+	plan := smallPlan()
+	plan.Groups[0].Ranks = 1
+	s := newSite(t, plan)
+	q := s.question(0, 1, 8)
+	q.Prompt += " crash-engine"
+	q.Stream = false
+	s.caller.Ask(s.ctx, s.Entries[0].CallersURL(), q)
+	require.Eventually(t, func() bool {
+		_, err := recorder.Collect(s.ctx, s.sources())
+		return err == nil
+	}, everywhere, 100*time.Millisecond)
+	require.Equal(t, recorder.Summary{Sent: 1, Unknown: 1}, s.verdicts())
+}
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -191,6 +191,9 @@
 		if held, ok := outcome.(resultHeld); ok {
 			outcome = s.inquire(ctx, held.claim)
 		}
+		if broken, ok := outcome.(resultBroken); ok && broken.mayHaveRun {
+			s.mayHaveRun = true
+		}
 		if !s.again(outcome) {
 			return s.problem(outcome)
 		}
@@ -257,15 +260,15 @@
 	if s.attempt.started && !s.call.Idempotent && s.call.Target.Kind == messenger.TargetService {
 		return refuser.Unknown(messenger.ReasonAgentLost)
 	}
-	return refuser.NotRun(messenger.ReasonNoCredit, retryAfter)
+	return s.refused(messenger.ReasonNoCredit)
 }
 
 // acquire waits for a credit. The candidates are ordered again while the request waits.
 func (s *session) acquire(ctx context.Context, avoid map[identifier.Upstream]time.Time) (queuer.Match, error) {
 	d := s.dispatcher
-	granted, err := d.enter(s.call)
-	if err != nil {
-		return queuer.Match{}, err
+	granted, ok := d.enter(s.call)
+	if !ok {
+		return queuer.Match{}, s.refused(messenger.ReasonQueueFull)
 	}
 	defer d.leave(s.call.Request)
 	started := time.Now()
@@ -308,16 +311,16 @@
 	return resultRefused{reason: reason}
 }
 
-// enter registers a request that is going to wait.
-func (d *Dispatcher) enter(call Call) (<-chan queuer.Match, error) {
+// enter registers a request that is going to wait, unless too many of its customer wait already.
+func (d *Dispatcher) enter(call Call) (<-chan queuer.Match, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if call.MaxWaiting > 0 && d.queue.Waiting(call.Customer) >= call.MaxWaiting {
-		return nil, refuser.NotRun(messenger.ReasonQueueFull, retryAfter)
+		return nil, false
 	}
 	granted := make(chan queuer.Match, 1)
 	d.waiting[call.Request] = granted
-	return granted, nil
+	return granted, true
 }
 
 // leave unregisters a request. A credit that it did not take in time goes back.
--- a/internal/request/streamer/session.go
+++ b/internal/request/streamer/session.go
@@ -59,6 +59,8 @@
 	generated []byte
 	headSent  bool
 	attempt   *attempt
+	// mayHaveRun is set once an attempt has ended that may have run. From then on no refusal means not run.
+	mayHaveRun bool
 }
 
 // attempt is the state of one dispatch.
@@ -312,7 +314,7 @@
 	case resultDone:
 		return nil
 	case resultRefused:
-		return refuser.NotRun(r.reason, retryAfter)
+		return s.refused(r.reason)
 	case resultBroken:
 		return refuser.Unknown(r.reason)
 	case resultGone:
@@ -322,6 +324,14 @@
 	}
 }
 
+// refused returns the problem of a request whose last attempt has not started.
+func (s *session) refused(reason messenger.Reason) error {
+	if s.mayHaveRun {
+		return refuser.Unknown(reason)
+	}
+	return refuser.NotRun(reason, retryAfter)
+}
+
 // expired returns the error after the caller went away or its deadline passed.
 func (s *session) expired() error {
 	if time.Now().Before(s.call.Deadline) {
