Add up the crashes of several upstreams; stop copies of a crashing request

The logs show three ways. Two agents each counted one crash, and since reports merged by maximum over all upstreams, every process knew of one. A copy that an agent refused (overloaded) because another copy ran there went to the next upstream and ran beside it. An entry that knew of two crashes sent the request to an agent that had heard of one. Change: a suspicion names the upstream that crashed; reports merge by maximum for each upstream and add up over upstreams. A suspected copy that is refused because another one runs waits for it, which is no attempt. An entry refuses a request itself after two crashes.

--- a/internal/connection/encoder/parts.go
+++ b/internal/connection/encoder/parts.go
@@ -68,6 +68,7 @@
 
 type wireSuspicion struct {
 	Digest  string `cbor:"digest,omitempty"`
+	Origin  string `cbor:"origin,omitempty"`
 	Crashes int    `cbor:"crashes,omitempty"`
 	Age     int64  `cbor:"age,omitempty"`
 }
@@ -75,6 +76,7 @@
 func encodeSuspicion(m messenger.Suspicion) wireSuspicion {
 	return wireSuspicion{
 		Digest:  string(m.Digest),
+		Origin:  string(m.Origin),
 		Crashes: m.Crashes,
 		Age:     int64(m.Age),
 	}
@@ -83,6 +85,7 @@
 func decodeSuspicion(w wireSuspicion) messenger.Suspicion {
 	return messenger.Suspicion{
 		Digest:  identifier.Digest(w.Digest),
+		Origin:  identifier.Upstream(w.Origin),
 		Crashes: w.Crashes,
 		Age:     time.Duration(w.Age),
 	}
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -66,9 +66,10 @@
 	Ready bool
 }
 
-// Suspicion counts the upstream crashes that a request digest took part in.
+// Suspicion counts the crashes of an upstream that a request digest took part in.
 type Suspicion struct {
 	Digest  identifier.Digest
+	Origin  identifier.Upstream
 	Crashes int
 	// Age is the time since the last crash.
 	Age time.Duration
--- a/internal/process/agentrunner/admission.go
+++ b/internal/process/agentrunner/admission.go
@@ -34,7 +34,7 @@
 				return a.store.Snapshot().Customers[c].Share
 			},
 		}),
-		quarantiner: quarantiner.New(quarantiner.Config{}),
+		quarantiner: quarantiner.New(quarantiner.Config{Origin: a.settings.Upstream}),
 		digests:     map[identifier.Digest]int{},
 	}
 }
--- a/internal/process/entryrunner/suspects.go
+++ b/internal/process/entryrunner/suspects.go
@@ -22,18 +22,19 @@
 
 // crashes returns how many upstreams the digest has crashed.
 func (s *suspects) crashes(d identifier.Digest) int {
+	crashes := 0
 	for _, suspicion := range s.list() {
 		if suspicion.Digest == d {
-			return suspicion.Crashes
+			crashes += suspicion.Crashes
 		}
 	}
-	return 0
+	return crashes
 }
 
 // crashed is called when a stream tells that its upstream died. The agent counts the crash and its heartbeat brings
 // the number; this entry must only know that the digest is suspect.
-func (s *suspects) crashed(d identifier.Digest) {
-	s.merge([]messenger.Suspicion{{Digest: d, Crashes: 1}})
+func (s *suspects) crashed(d identifier.Digest, upstream identifier.Upstream) {
+	s.merge([]messenger.Suspicion{{Digest: d, Origin: upstream, Crashes: 1}})
 }
 
 func (s *suspects) list() []messenger.Suspicion {
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -12,11 +12,12 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 )
 
+// RefuseAfter is the number of crashes after which a digest is refused.
+const RefuseAfter = 2
+
 const (
 	defaultExpiry     = 10 * time.Minute
 	defaultMaxDigests = 4096
-	// refuseAfter is the number of crashes after which a digest is refused.
-	refuseAfter = 2
 	// maxReported bounds the suspicions of one heartbeat to a few KB.
 	maxReported = 64
 	// echoTolerance separates a later crash from a report of the same crash that was delayed on its way. If a delay
@@ -45,16 +46,44 @@
 	// MaxDigests bounds the memory; 4096 by default. Beyond it the digest with the fewest crashes, and of these the one
 	// with the oldest crash, is forgotten first.
 	MaxDigests int
+	// Origin is the upstream whose crashes Crashed counts. Crashes of several upstreams add up, while reports of the
+	// same crash merge by maximum.
+	Origin identifier.Upstream
 }
 
-type record struct {
-	digest  identifier.Digest
+// count is the number of crashes of one upstream.
+type count struct {
 	crashes int
 	last    time.Time
 }
 
+type record struct {
+	digest  identifier.Digest
+	origins map[identifier.Upstream]count
+}
+
+// crashes returns the number of crashes of all upstreams.
+func (r record) crashes() int {
+	sum := 0
+	for _, c := range r.origins {
+		sum += c.crashes
+	}
+	return sum
+}
+
+func (r record) last() time.Time {
+	var last time.Time
+	for _, c := range r.origins {
+		if c.last.After(last) {
+			last = c.last
+		}
+	}
+	return last
+}
+
 // Quarantiner holds the suspected digests that one process knows.
 type Quarantiner struct {
+	origin     identifier.Upstream
 	expiry     time.Duration
 	maxDigests int
 	records    map[identifier.Digest]record
@@ -69,6 +98,7 @@
 		cfg.MaxDigests = defaultMaxDigests
 	}
 	return &Quarantiner{
+		origin:     cfg.Origin,
 		expiry:     cfg.Expiry,
 		maxDigests: cfg.MaxDigests,
 		records:    map[identifier.Digest]record{},
@@ -84,21 +114,33 @@
 		if d == "" {
 			continue
 		}
-		q.records[d] = record{digest: d, crashes: q.records[d].crashes + 1, last: now}
+		r := q.record(d)
+		r.origins[q.origin] = count{crashes: r.origins[q.origin].crashes + 1, last: now}
 	}
 	q.bound()
 }
 
-// Merge adds the suspicions of another process by maximum.
+// record returns the record of a digest and makes it if it is absent.
+func (q *Quarantiner) record(d identifier.Digest) record {
+	r, found := q.records[d]
+	if !found {
+		r = record{digest: d, origins: map[identifier.Upstream]count{}}
+		q.records[d] = r
+	}
+	return r
+}
+
+// Merge adds the suspicions of another process, for each upstream by maximum.
 func (q *Quarantiner) Merge(now time.Time, suspicions []messenger.Suspicion) {
 	q.expire(now)
 	for _, s := range suspicions {
-		heard := record{digest: s.Digest, crashes: s.Crashes, last: now.Add(-max(0, s.Age))}
+		heard := count{crashes: s.Crashes, last: now.Add(-max(0, s.Age))}
 		// A report that is about to expire here may have expired elsewhere, and must not bring the suspicion back.
-		if s.Digest == "" || s.Crashes <= 0 || q.expired(now.Add(echoTolerance), heard) {
+		if s.Digest == "" || s.Crashes <= 0 || q.expired(now.Add(echoTolerance), heard.last) {
 			continue
 		}
-		q.records[s.Digest] = merged(q.records[s.Digest], heard)
+		r := q.record(s.Digest)
+		r.origins[s.Origin] = merged(r.origins[s.Origin], heard)
 	}
 	q.bound()
 }
@@ -107,9 +149,9 @@
 func (q *Quarantiner) Verdict(now time.Time, d identifier.Digest) Verdict {
 	known, found := q.records[d]
 	switch {
-	case !found || q.expired(now, known):
+	case !found || q.expired(now, known.last()):
 		return VerdictClear
-	case known.crashes >= refuseAfter:
+	case known.crashes() >= RefuseAfter:
 		return VerdictRefuse
 	}
 	return VerdictAlone
@@ -118,35 +160,36 @@
 // Suspicions returns what other processes should know, the latest crash first and at most 64.
 func (q *Quarantiner) Suspicions(now time.Time) []messenger.Suspicion {
 	q.expire(now)
-	records := q.sorted(func(a, b record) int {
-		return cmp.Or(b.last.Compare(a.last), cmp.Compare(a.digest, b.digest))
-	})
-	records = records[:min(len(records), maxReported)]
-	out := make([]messenger.Suspicion, 0, len(records))
-	for _, r := range records {
-		out = append(out, messenger.Suspicion{Digest: r.digest, Crashes: r.crashes, Age: max(0, now.Sub(r.last))})
+	out := []messenger.Suspicion{}
+	for _, r := range q.records {
+		for origin, c := range r.origins {
+			out = append(out, messenger.Suspicion{
+				Digest: r.digest, Origin: origin, Crashes: c.crashes, Age: max(0, now.Sub(c.last)),
+			})
+		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b messenger.Suspicion) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Digest, b.Digest), cmp.Compare(a.Origin, b.Origin))
+	})
+	return out[:min(len(out), maxReported)]
 }
 
-func merged(known, heard record) record {
-	if heard.crashes > known.crashes {
-		known.crashes = heard.crashes
-	}
-	if known.digest == "" || heard.last.Sub(known.last) > echoTolerance {
+func merged(known, heard count) count {
+	if heard.last.Sub(known.last) > echoTolerance {
 		known.last = heard.last
 	}
-	known.digest = heard.digest
+	known.crashes = max(known.crashes, heard.crashes)
 	return known
 }
 
-func (q *Quarantiner) expired(now time.Time, r record) bool {
-	return now.Sub(r.last) >= q.expiry
+func (q *Quarantiner) expired(now, last time.Time) bool {
+	return now.Sub(last) >= q.expiry
 }
 
+// expire forgets digests after their last crash. Until then all crashes of a digest count.
 func (q *Quarantiner) expire(now time.Time) {
 	for d, r := range q.records {
-		if q.expired(now, r) {
+		if q.expired(now, r.last()) {
 			delete(q.records, d)
 		}
 	}
@@ -158,7 +201,7 @@
 		return
 	}
 	records := q.sorted(func(a, b record) int {
-		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
+		return cmp.Or(cmp.Compare(a.crashes(), b.crashes()), a.last().Compare(b.last()), cmp.Compare(a.digest, b.digest))
 	})
 	for _, r := range records[:excess] {
 		delete(q.records, r.digest)
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -70,3 +70,21 @@
 	require.Equal(t, quarantiner.VerdictRefuse, q.Verdict(start.Add(time.Second), "refused"))
 	require.Len(t, q.Suspicions(start.Add(time.Second)), 64)
 }
+
+// Guards against two crashes at upstreams that did not know of each other's which count as one, so that the request
+// crashes a third upstream.
+func TestCrashesOfSeveralUpstreamsAddUp(t *testing.T) {
+	t.Parallel()
+	a, b := quarantiner.New(quarantiner.Config{Origin: "a"}), quarantiner.New(quarantiner.Config{Origin: "b"})
+	entry := quarantiner.New(quarantiner.Config{})
+	a.Crashed(start, []identifier.Digest{"d"})
+	b.Crashed(start, []identifier.Digest{"d"})
+	entry.Merge(start, []messenger.Suspicion{{Digest: "d", Origin: "a", Crashes: 1}})
+	entry.Merge(start, a.Suspicions(start))
+	require.Equal(t, quarantiner.VerdictAlone, entry.Verdict(start, "d"), "two reports of one crash count once")
+	entry.Merge(start, b.Suspicions(start))
+	require.Equal(t, quarantiner.VerdictRefuse, entry.Verdict(start, "d"))
+	third := quarantiner.New(quarantiner.Config{Origin: "c"})
+	third.Merge(start, entry.Suspicions(start))
+	require.Equal(t, quarantiner.VerdictRefuse, third.Verdict(start, "d"))
+}
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -15,6 +15,7 @@
 	"currantledge.example/currantledge/internal/connection/pooler"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/refuser"
 	"currantledge.example/currantledge/internal/request/router"
@@ -29,6 +30,8 @@
 	repeatDemand = 250 * time.Millisecond
 	retryPause   = 20 * time.Millisecond
 	retryAfter   = 2 * time.Second
+	// copyPause is how long a suspected request waits before it asks again whether its copy still runs.
+	copyPause = 100 * time.Millisecond
 	// avoidFor keeps a request from an upstream that has just refused it.
 	avoidFor = 500 * time.Millisecond
 	// noUpstreamWait lets links come up before a request is refused for want of an upstream.
@@ -84,7 +87,7 @@
 	// Suspect returns how many upstreams a request digest has crashed.
 	Suspect func(identifier.Digest) int
 	// Crashed records that an upstream died while it ran a request digest.
-	Crashed func(identifier.Digest)
+	Crashed func(identifier.Digest, identifier.Upstream)
 	Policy  router.Policy
 }
 
@@ -180,7 +183,7 @@
 // serve repeats attempts while that is safe.
 func (s *session) serve(ctx context.Context) error {
 	avoid := map[identifier.Upstream]time.Time{}
-	for range maxAttempts {
+	for attempts := 0; attempts < maxAttempts; {
 		match, err := s.acquire(ctx, avoid)
 		if err != nil {
 			return err
@@ -197,6 +200,11 @@
 		if !s.again(outcome) {
 			return s.problem(outcome)
 		}
+		if s.behindCopy(outcome) {
+			pause(ctx, copyPause)
+			continue
+		}
+		attempts++
 		avoid[match.Upstream] = time.Now().Add(avoidFor)
 		s.dispatcher.cfg.Log.Decide(logger.Decision{
 			Event: logger.EventResumed, Request: s.call.Request, Choice: "anotherAttempt", Reason: reasonOf(outcome),
@@ -205,6 +213,13 @@
 	return s.exhausted()
 }
 
+// behindCopy tells whether a suspected request was refused because a copy of it runs. It waits for the outcome of that
+// copy, since on another upstream it would run beside it and could make a further upstream fall over.
+func (s *session) behindCopy(r result) bool {
+	refused, ok := r.(resultRefused)
+	return ok && refused.reason == messenger.ReasonOverloaded && s.dispatcher.cfg.Suspect(s.call.Digest) > 0
+}
+
 // again tells whether another attempt is safe and useful.
 func (s *session) again(r result) bool {
 	switch r := r.(type) {
@@ -222,7 +237,7 @@
 // after the text that the caller has.
 func (s *session) againAfter(r resultBroken) bool {
 	if r.reason == messenger.ReasonUpstreamDied {
-		s.dispatcher.cfg.Crashed(s.call.Digest)
+		s.dispatcher.cfg.Crashed(s.call.Digest, s.attempt.upstream)
 	}
 	if r.reason == messenger.ReasonMismatch || r.reason == messenger.ReasonDeadline {
 		return false
@@ -291,9 +306,13 @@
 	}
 }
 
-// checkWait refuses a request that has waited for too long or has no upstream.
+// checkWait refuses a request that has waited for too long, has no upstream or has crashed upstreams. The agent that
+// would get the request next may not have heard of the last crash yet.
 func (s *session) checkWait(started time.Time, choices int) error {
 	now := time.Now()
+	if s.dispatcher.cfg.Suspect(s.call.Digest) >= quarantiner.RefuseAfter {
+		return s.refused(messenger.ReasonQuarantined)
+	}
 	if choices == 0 && now.Sub(started) > noUpstreamWait {
 		return s.problem(s.waitingFailed(messenger.ReasonNoUpstream))
 	}
