Extend the matrix: a change in each cell, pairs, sequences and tests

Ruled out: a weaker check of planned stops; only requests that the stand-ins record as running at a fall are left out, and these must still end with a truthful problem. Change: each cell changes the configuration during its fault. The step agentShutdown stops a rank and a service runner. Passed cells print the longest answer.

--- a/cmd/prover/commands.go
+++ b/cmd/prover/commands.go
@@ -80,9 +80,12 @@
 
 // The parts of the fault matrix.
 const (
-	partMatrix = "matrix"
-	partCheck  = "check"
-	partPairs  = "pairs"
+	partMatrix    = "matrix"
+	partCheck     = "check"
+	partPairs     = "pairs"
+	partSequences = "sequences"
+	// sequenceCells is the number of cells in all sequences together.
+	sequenceCells = 64
 )
 
 type faultsCommand struct {
@@ -90,7 +93,7 @@
 	Binaries string   `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
 	Seed     uint64   `long:"seed" default:"1" description:"seed of the load and of the network faults"`
 	Cells    []string `long:"cell" description:"run only this cell, FAULT/STEP or FAULT+FAULT/STEP, repeatable"`
-	Part     string   `long:"part" default:"matrix" choice:"matrix" choice:"check" choice:"pairs" description:"what to run"`
+	Part     string   `long:"part" default:"matrix" choice:"matrix" choice:"check" choice:"pairs" choice:"sequences" description:"what to run"`
 	Parallel int      `long:"parallel" default:"4" description:"number of deployments side by side"`
 	Keep     bool     `long:"keep" description:"keep the folders with settings and logs"`
 }
@@ -133,6 +136,8 @@
 		return matrixrunner.Check(), nil
 	case partPairs:
 		return matrixrunner.Pairs(), nil
+	case partSequences:
+		return matrixrunner.Sequences(c.Seed, sequenceCells), nil
 	case partMatrix:
 		return matrixrunner.All(), nil
 	default:
--- a/internal/prover/matrixrunner/check.go
+++ b/internal/prover/matrixrunner/check.go
@@ -7,6 +7,7 @@
 
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
+	"currantledge.example/currantledge/internal/standin/simulator"
 )
 
 const (
@@ -31,8 +32,9 @@
 	for _, v := range report.Violations {
 		t.fail("%s", v)
 	}
+	crashed := crashedRequests(records)
 	for _, v := range report.Verdicts[t.examined:] {
-		t.checkVerdict(v)
+		t.checkVerdict(v, crashed[v.Exchange.Request])
 	}
 	t.examined = len(exchanges)
 	t.checkClosures(records)
@@ -42,9 +44,24 @@
 	}
 }
 
-// checkVerdict checks that a caller got a whole answer or a truthful problem, and that planned stops cut nothing.
-func (t *trial) checkVerdict(v recorder.Verdict) {
+// crashedRequests returns the requests that ran on an upstream when it fell over.
+func crashedRequests(records []recorder.SourceRecord) map[string]bool {
+	crashed := map[string]bool{}
+	for _, r := range records {
+		for _, call := range r.Record.Calls {
+			if call.Outcome == simulator.OutcomeCrashed {
+				crashed[call.Request] = true
+			}
+		}
+	}
+	return crashed
+}
+
+// checkVerdict checks that a caller got a whole answer or a truthful problem, and that planned stops cut nothing. What
+// ran on an upstream that fell over was not cut by the planned stop.
+func (t *trial) checkVerdict(v recorder.Verdict, crashed bool) {
 	e := v.Exchange
+	t.longest = max(t.longest, e.End.Sub(e.Start))
 	named := fmt.Sprintf("request %q at %s, sent %s", e.Request, e.Entry, e.Start.Format("15:04:05.000"))
 	if e.Abandoned {
 		t.fail("%s got no answer within %v", named, answerPeriod)
@@ -57,7 +74,7 @@
 		t.fail("%s broke off without a problem: %s", named, v.Detail)
 		return
 	}
-	if t.planned && !t.cell.severs() {
+	if t.planned && !t.cell.severs() && !crashed {
 		t.fail("%s was cut by a planned stop: %s", named, v.Cause)
 	}
 }
--- a/internal/prover/matrixrunner/faults.go
+++ b/internal/prover/matrixrunner/faults.go
@@ -17,7 +17,9 @@
 	freezePeriod = 6 * time.Second
 	cutPeriod    = 4 * time.Second
 	// killPeriod is the time until a killed process is started again.
-	killPeriod    = 1500 * time.Millisecond
+	killPeriod = 1500 * time.Millisecond
+	// changeDelay is the time from the start of the fault to a configuration change, which must reach all processes.
+	changeDelay   = 500 * time.Millisecond
 	faultPeriod   = 3 * time.Second
 	outagePeriod  = 2 * time.Second
 	slowPlatform  = 1200 * time.Millisecond
@@ -48,6 +50,11 @@
 func (t *trial) inject(ctx context.Context) error {
 	results := make([]error, len(t.cell.Faults))
 	var faults sync.WaitGroup
+	t.work.Go(func() {
+		pause(ctx, changeDelay)
+		// While the platform fails, the change may be refused.
+		_, _ = t.changeCustomer(ctx, t.Entries[0], "")
+	})
 	for i, f := range t.cell.Faults {
 		faults.Go(func() { results[i] = errors.Wrapf(t.injectOne(ctx, f), "inject %s", f) })
 	}
@@ -100,7 +107,7 @@
 	case FaultColdUpstream:
 		return t.cool(ctx)
 	case FaultCrashingRequest:
-		t.crashes = 2
+		t.allowFalls(2)
 		t.load.crash(ctx)
 		pause(ctx, faultPeriod)
 		return nil
@@ -124,13 +131,17 @@
 	t.healed[n.Name] = time.Now()
 }
 
+// kill ends the victim's process and starts it again. Before the first token it is the engine that dies.
 func (t *trial) kill(ctx context.Context) error {
+	if t.cell.Step == StepFirstToken {
+		t.allowFalls(1)
+		err := t.Control(ctx, t.agent.Standin, "/control", map[string]any{"crash": true})
+		pause(ctx, killPeriod)
+		return err
+	}
 	t.breakEntry(t.victim)
 	t.victim.Process.Kill()
 	pause(ctx, killPeriod)
-	if t.cell.Step == StepEntryShutdown || t.cell.Step == StepAgentShutdown {
-		t.finish = func(context.Context) error { return nil }
-	}
 	if err := t.restart(ctx, t.victim); err != nil {
 		return err
 	}
@@ -138,6 +149,13 @@
 	return nil
 }
 
+// allowFalls notes that the fault itself makes upstreams fall over.
+func (t *trial) allowFalls(count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashes += count
+}
+
 // breakEntry notes that callers of an entry see broken connections.
 func (t *trial) breakEntry(n *launcher.Node) {
 	for _, e := range t.Entries {
--- a/internal/prover/matrixrunner/matrix.go
+++ b/internal/prover/matrixrunner/matrix.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
 )
 
 // Fault is a row of the matrix.
@@ -193,8 +194,8 @@
 	return cells
 }
 
-// Pairs returns each fault together with an outage of the platform at mid-stream and at the claim. Each fault together
-// with a change of a failure domain is a column of the matrix.
+// Pairs returns each fault together with an outage of the platform, at mid-stream and at a change of a failure domain. Each
+// fault alone together with a change of a failure domain is a column of the matrix.
 func Pairs() []Cell {
 	var cells []Cell
 	for _, fault := range Faults() {
@@ -207,3 +208,22 @@
 	}
 	return cells
 }
+
+// Sequences returns random cells with one or two faults, in the order in which they share deployments.
+func Sequences(seed uint64, count int) []Cell {
+	var faults []Fault
+	for _, f := range Faults() {
+		// The row of cache events needs a deployment of its own.
+		if f != FaultCacheEvents && Impossible(Cell{Faults: []Fault{f}, Step: StepIdle}) == "" {
+			faults = append(faults, f)
+		}
+	}
+	cell := rapid.Custom(func(t *rapid.T) Cell {
+		chosen := rapid.SliceOfNDistinct(rapid.SampledFrom(faults), 1, 2, rapid.ID[Fault]).Draw(t, "faults")
+		return Cell{Faults: chosen, Step: rapid.SampledFrom(Steps()).Draw(t, "step")}
+	}).Filter(func(c Cell) bool {
+		endsAndStops := c.has(FaultKill) && c.has(FaultFreeze)
+		return !endsAndStops && Impossible(c) == "" && NotRun(c) == ""
+	})
+	return rapid.SliceOfN(cell, count, count).Example(int(seed))
+}
--- /dev/null
+++ b/internal/prover/matrixrunner/matrix_test.go
@@ -0,0 +1,108 @@
+package matrixrunner_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/prover/launcher"
+	"currantledge.example/currantledge/internal/prover/matrixrunner"
+)
+
+// Guards against a row or a column that is missing from the matrix, and against cells that count as passed without run.
+func TestAllCellsAreCounted(t *testing.T) {
+	t.Parallel()
+	seen := map[string]bool{}
+	for _, cell := range matrixrunner.All() {
+		seen[cell.String()] = true
+		require.False(t, matrixrunner.Impossible(cell) != "" && matrixrunner.NotRun(cell) != "", cell)
+	}
+	require.Len(t, seen, len(matrixrunner.Faults())*len(matrixrunner.Steps()))
+}
+
+// Guards against a part of make check in which a fault or a step that can run is left out, or a cell cannot run.
+func TestCheckCoversAllFaultsAndSteps(t *testing.T) {
+	t.Parallel()
+	faults, steps := map[matrixrunner.Fault]bool{}, map[matrixrunner.Step]bool{}
+	for _, cell := range matrixrunner.Check() {
+		require.NotEmpty(t, cell.Faults)
+		require.Empty(t, matrixrunner.Impossible(cell), cell)
+		require.Empty(t, matrixrunner.NotRun(cell), cell)
+		faults[cell.Faults[0]], steps[cell.Step] = true, true
+	}
+	for _, cell := range matrixrunner.All() {
+		if matrixrunner.Impossible(cell) == "" && matrixrunner.NotRun(cell) == "" {
+			require.True(t, faults[cell.Faults[0]], cell.Faults[0])
+			require.True(t, steps[cell.Step], cell.Step)
+		}
+	}
+}
+
+// Guards against names that cannot be given to --cell again, and against a misspelled name that runs nothing.
+func TestParseCell(t *testing.T) {
+	t.Parallel()
+	for _, cells := range [][]matrixrunner.Cell{matrixrunner.All(), matrixrunner.Pairs()} {
+		for _, cell := range cells {
+			parsed, err := matrixrunner.ParseCell(cell.String())
+			require.NoError(t, err)
+			require.Equal(t, cell, parsed)
+		}
+	}
+	for _, name := range []string{"", "kill", "kill/", "/idle", "killing/idle", "kill/idleness", "kill+/idle"} {
+		_, err := matrixrunner.ParseCell(name)
+		require.Error(t, err, name)
+	}
+}
+
+// Guards against sequences that differ between runs with one seed, or that do not depend on it.
+func TestSequencesFollowTheSeed(t *testing.T) {
+	t.Parallel()
+	require.Equal(t, matrixrunner.Sequences(1, 20), matrixrunner.Sequences(1, 20))
+	require.NotEqual(t, matrixrunner.Sequences(1, 20), matrixrunner.Sequences(2, 20))
+}
+
+// Guards against a failed cell that does not fail the run, and against a known one that does.
+func TestFailedCellsFailTheRun(t *testing.T) {
+	t.Parallel()
+	known := filepath.Join(t.TempDir(), "known")
+	require.NoError(t, os.WriteFile(known, []byte("test: other Test\ncell: kill/idle\n"), 0o600))
+	tests := []struct {
+		cell  string
+		fails bool
+		last  string
+	}{
+		{"kill/idle", false, "faults: cells=1 passed=0 failed=1 impossible=0 notRun=0\n"},
+		{"kill/accept", true, "faults: cells=1 passed=0 failed=1 impossible=0 notRun=0\n"},
+		{"kill/mapSwitch", false, "faults: cells=1 passed=0 failed=0 impossible=0 notRun=1\n"},
+		{"ignoredFence/idle", false, "faults: cells=1 passed=0 failed=0 impossible=1 notRun=0\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.cell, func(t *testing.T) {
+			t.Parallel()
+			cell, err := matrixrunner.ParseCell(test.cell)
+			require.NoError(t, err)
+			var output bytes.Buffer
+			err = matrixrunner.Run(t.Context(), matrixrunner.Config{
+				// No deployment starts from these, so each cell that is run fails.
+				Binaries: launcher.Binaries{Product: "/bin/false", Standin: "/bin/false"},
+				Cells:    []matrixrunner.Cell{cell},
+				Seed:     1,
+				KnownRed: known,
+				Output:   &output,
+			})
+			require.Equal(t, test.fails, err != nil, err)
+			require.Contains(t, output.String(), test.last)
+		})
+	}
+}
+
+// Guards against a misspelled cell in the list of known failures, which would hide nothing and be kept for ever.
+func TestKnownCellsMustExist(t *testing.T) {
+	t.Parallel()
+	known := filepath.Join(t.TempDir(), "known")
+	require.NoError(t, os.WriteFile(known, []byte("cell: kill/idleness\n"), 0o600))
+	require.ErrorContains(t, matrixrunner.Run(t.Context(), matrixrunner.Config{KnownRed: known}), "idleness")
+}
--- a/internal/prover/matrixrunner/matrixrunner.go
+++ b/internal/prover/matrixrunner/matrixrunner.go
@@ -165,7 +165,7 @@
 		if s == nil {
 			created, err := newSite(ctx, r.cfg.Binaries, smallPlan(r.cfg.Seed, cell.has(FaultCacheEvents)), r.cfg.Keep)
 			if err != nil {
-				r.conclude(cell, 0, []string{err.Error()})
+				r.conclude(cell, []string{err.Error()})
 				continue
 			}
 			s = created
@@ -185,18 +185,19 @@
 	start := time.Now()
 	limited, cancel := context.WithTimeout(ctx, cellPeriod)
 	defer cancel()
-	problems := newTrial(s, cell, r.cfg.Seed).run(limited)
+	t := newTrial(s, cell, r.cfg.Seed)
+	problems := t.run(limited)
 	if len(problems) > 0 && r.cfg.Keep {
 		problems = append(problems, "settings and logs are in "+s.launcher.Folder())
 	}
-	r.conclude(cell, time.Since(start), problems)
+	if len(problems) == 0 {
+		r.say("%s passed in %.1f s, longest answer %.1f s", cell, time.Since(start).Seconds(), t.longest.Seconds())
+	}
+	r.conclude(cell, problems)
 	return len(problems) == 0
 }
 
-func (r *runner) conclude(cell Cell, took time.Duration, problems []string) {
-	if len(problems) == 0 {
-		r.say("%s passed in %.1f s", cell, took.Seconds())
-	}
+func (r *runner) conclude(cell Cell, problems []string) {
 	for _, problem := range problems {
 		r.say("%s seed=%d: %s", cell, r.cfg.Seed, problem)
 	}
--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -62,7 +62,7 @@
 	case StepEntryShutdown:
 		return t.reachShutdown(ctx, &t.entry.Node)
 	case StepAgentShutdown:
-		return t.reachShutdown(ctx, &t.agent.Node)
+		return t.reachShutdown(ctx, &t.agent.Node, &t.runner.Node)
 	default:
 		return errors.Newf("no way to reach the step %s", t.cell.Step)
 	}
@@ -285,27 +285,44 @@
 	return err
 }
 
-// reachShutdown asks a node with running streams to stop, and starts it again once it has ended.
-func (t *trial) reachShutdown(ctx context.Context, n *launcher.Node) error {
+// reachShutdown asks nodes with running requests to stop, and starts them again once they have ended. The first is the
+// victim.
+func (t *trial) reachShutdown(ctx context.Context, nodes ...*launcher.Node) error {
 	t.planned = true
-	t.victim = n
+	t.victim = nodes[0]
 	for range focusCalls {
 		question := t.question(streamTokens)
 		t.work.Go(func() { t.ask(ctx, t.entry.CallersURL(), question) })
 	}
 	pause(ctx, streamAge)
-	if err := n.Process.Terminate(); err != nil {
-		return err
-	}
-	t.finish = func(ctx context.Context) error {
-		if err := t.stopped(ctx, n); err != nil {
+	for _, n := range nodes {
+		if err := n.Process.Terminate(); err != nil {
 			return err
 		}
-		if err := t.restart(ctx, n); err != nil {
-			return err
+	}
+	t.finish = func(ctx context.Context) error {
+		for _, n := range nodes {
+			if err := t.startAgain(ctx, n); err != nil {
+				return err
+			}
 		}
-		t.reachable(n)
 		return nil
 	}
 	return nil
 }
+
+// startAgain waits for the end of a planned stop and starts the node again.
+func (t *trial) startAgain(ctx context.Context, n *launcher.Node) error {
+	if t.restarted[n.Name] {
+		// The fault ended the process before it could stop.
+		return nil
+	}
+	if err := t.stopped(ctx, n); err != nil {
+		return err
+	}
+	if err := t.restart(ctx, n); err != nil {
+		return err
+	}
+	t.reachable(n)
+	return nil
+}
--- a/internal/prover/matrixrunner/trial.go
+++ b/internal/prover/matrixrunner/trial.go
@@ -65,6 +65,8 @@
 	restarted map[string]bool
 	// broken holds the entries whose process was ended by the fault.
 	broken map[string]bool
+	// longest is the longest time that a caller waited for its whole answer.
+	longest time.Duration
 	// crashes counts the falls of upstreams that the fault itself causes.
 	crashes int
 }
