Bound the upstreams that copies of a request reach

Ruled out: faster news alone, since copies were already running on several upstreams when the first crashed. Change: identical model requests keep to the first two upstreams of the rendezvous order of their prefix, the same at all entries, and to one after a crash; crashes have names and are joined; entries refuse after two; agents return the credit of a refused request. Conclusion: not yet sound; the first copy at an entry can still go to a third upstream.

--- a/internal/connection/encoder/encoder_test.go
+++ b/internal/connection/encoder/encoder_test.go
@@ -21,7 +21,7 @@
 		messenger.Hello{Node: "a", Role: identifier.RoleAgent, FailureDomain: "d", Incarnation: 7, Upstream: "u", Address: "x", Revision: 9},
 		messenger.Heartbeat{
 			Sequence: 3, Revision: 4, Load: &messenger.Load{Upstream: "u", Running: 1, Limit: 5, StepTime: time.Second},
-			Suspicions: []messenger.Suspicion{{Digest: "d", Crashes: 2, Age: time.Minute}},
+			Suspicions: []messenger.Suspicion{{Digest: "d", Crashes: []identifier.Crash{"u/1", "u/2"}, Age: time.Minute}},
 		},
 		messenger.Demand{Customers: []messenger.CustomerDemand{{Customer: "c", Waiting: 2}}},
 		messenger.Grant{Incarnation: 1, Serial: 2, Customer: "c", Credits: 3, Lifetime: time.Second, Standing: true},
--- a/internal/connection/encoder/parts.go
+++ b/internal/connection/encoder/parts.go
@@ -67,15 +67,15 @@
 }
 
 type wireSuspicion struct {
-	Digest  string `cbor:"digest,omitempty"`
-	Crashes int    `cbor:"crashes,omitempty"`
-	Age     int64  `cbor:"age,omitempty"`
+	Digest  string   `cbor:"digest,omitempty"`
+	Crashes []string `cbor:"crashes,omitempty"`
+	Age     int64    `cbor:"age,omitempty"`
 }
 
 func encodeSuspicion(m messenger.Suspicion) wireSuspicion {
 	return wireSuspicion{
 		Digest:  string(m.Digest),
-		Crashes: m.Crashes,
+		Crashes: mapAll(m.Crashes, func(c identifier.Crash) string { return string(c) }),
 		Age:     int64(m.Age),
 	}
 }
@@ -83,7 +83,7 @@
 func decodeSuspicion(w wireSuspicion) messenger.Suspicion {
 	return messenger.Suspicion{
 		Digest:  identifier.Digest(w.Digest),
-		Crashes: w.Crashes,
+		Crashes: mapAll(w.Crashes, func(c string) identifier.Crash { return identifier.Crash(c) }),
 		Age:     time.Duration(w.Age),
 	}
 }
--- a/internal/connection/encoder/stream.go
+++ b/internal/connection/encoder/stream.go
@@ -246,12 +246,14 @@
 type wireBroken struct {
 	Reason     string `cbor:"reason,omitempty"`
 	MayHaveRun bool   `cbor:"mayHaveRun,omitempty"`
+	Crash      string `cbor:"crash,omitempty"`
 }
 
 func encodeBroken(m messenger.Broken) wireBroken {
 	return wireBroken{
 		Reason:     string(m.Reason),
 		MayHaveRun: m.MayHaveRun,
+		Crash:      string(m.Crash),
 	}
 }
 
@@ -259,6 +261,7 @@
 	return messenger.Broken{
 		Reason:     messenger.Reason(w.Reason),
 		MayHaveRun: w.MayHaveRun,
+		Crash:      identifier.Crash(w.Crash),
 	}
 }
 
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -66,10 +66,10 @@
 	Ready bool
 }
 
-// Suspicion counts the upstream crashes that a request digest took part in.
+// Suspicion names the upstream crashes that a request digest took part in.
 type Suspicion struct {
 	Digest  identifier.Digest
-	Crashes int
+	Crashes []identifier.Crash
 	// Age is the time since the last crash.
 	Age time.Duration
 }
@@ -248,6 +248,8 @@
 	Broken struct {
 		Reason     Reason
 		MayHaveRun bool
+		// Crash is set if the upstream died.
+		Crash identifier.Crash
 	}
 	// ClaimHeld tells that another attempt holds the claim of the key.
 	ClaimHeld struct {
--- a/internal/process/agentrunner/admission.go
+++ b/internal/process/agentrunner/admission.go
@@ -98,9 +98,11 @@
 	now := time.Now()
 	switch m.quarantiner.Verdict(now, d.Digest) {
 	case quarantiner.VerdictRefuse:
+		m.giveBack(now, entry, d.Serial)
 		return messenger.ReasonQuarantined
 	case quarantiner.VerdictAlone:
 		if m.digests[d.Digest] > 0 {
+			m.giveBack(now, entry, d.Serial)
 			return messenger.ReasonOverloaded
 		}
 	case quarantiner.VerdictClear:
@@ -114,6 +116,13 @@
 	return reason
 }
 
+// giveBack returns the credit of a refused request, which would otherwise be held until it expires.
+func (m *admission) giveBack(now time.Time, entry identifier.Node, serial identifier.Serial) {
+	for _, issue := range m.granter.Return(now, entry, messenger.ReturnGrant{Serial: serial, Credits: 1}) {
+		m.agent.links.post(issue.Entry, issue.Grant)
+	}
+}
+
 // finish gives the capacity of a request back.
 func (m *admission) finish(d messenger.Dispatch, succeeded bool) {
 	m.mu.Lock()
@@ -141,13 +150,13 @@
 }
 
 // crashed marks the digests that ran when the upstream died and tells entries at once.
-func (m *admission) crashed() {
+func (m *admission) crashed(crash identifier.Crash) {
 	m.mu.Lock()
 	running := make([]identifier.Digest, 0, len(m.digests))
 	for d := range m.digests {
 		running = append(running, d)
 	}
-	m.quarantiner.Crashed(time.Now(), running)
+	m.quarantiner.Crashed(time.Now(), crash, running)
 	m.mu.Unlock()
 	for _, d := range running {
 		m.agent.log.Event(logger.EventSuspected).Str("digest", string(d)).Send()
--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -33,6 +33,8 @@
 	agent    *Agent
 	dispatch messenger.Dispatch
 	buffer   *streamer.Buffer
+	// boot is the upstream's boot id when the run started.
+	boot identifier.Boot
 
 	mu      sync.Mutex
 	cancel  context.CancelCauseFunc
@@ -222,11 +224,11 @@
 
 // fail ends an answer that broke off.
 func (r *run) fail() {
-	reason := messenger.ReasonUpstreamError
-	if r.agent.upstream.broke(context.Background()) {
-		reason = messenger.ReasonUpstreamDied
+	broken := messenger.Broken{Reason: messenger.ReasonUpstreamError, MayHaveRun: true}
+	if crash, died := r.agent.upstream.broke(context.Background(), r.boot); died {
+		broken.Reason, broken.Crash = messenger.ReasonUpstreamDied, crash
 	}
-	r.buffer.Fail(reason, true)
+	r.buffer.Break(broken)
 }
 
 // attended counts the entries attached to the answer. A repeatable run without any is cancelled after a while.
--- a/internal/process/agentrunner/streams.go
+++ b/internal/process/agentrunner/streams.go
@@ -50,7 +50,7 @@
 		_ = stream.Send(messenger.Refused{Reason: reason, RetryAfter: retryAfter})
 		return
 	}
-	r := &run{agent: a, dispatch: d, buffer: buffer}
+	r := &run{agent: a, dispatch: d, buffer: buffer, boot: a.upstream.current()}
 	a.upstream.begin(r)
 	refusal, recorded := r.claim()
 	switch {
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -142,18 +142,25 @@
 	u.agent.adopted()
 }
 
-// broke is called when a running request lost its upstream. It tells whether the upstream itself died, and counts
-// each death once.
-func (u *upstream) broke(ctx context.Context) bool {
+// current returns the boot id that the upstream reported last.
+func (u *upstream) current() identifier.Boot {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.boot
+}
+
+// broke is called when a request that started under a boot id lost its upstream. It names the death if the upstream
+// itself died, and counts each death once.
+func (u *upstream) broke(ctx context.Context, boot identifier.Boot) (identifier.Crash, bool) {
 	u.mu.Lock()
-	boot := u.boot
 	counted := boot != "" && u.crashed == boot
 	u.mu.Unlock()
+	crash := identifier.Crash(string(u.agent.settings.Upstream) + "/" + string(boot))
 	if counted {
-		return true
+		return crash, true
 	}
 	if !u.diedSince(ctx, boot) {
-		return false
+		return "", false
 	}
 	u.mu.Lock()
 	counted = u.crashed == boot
@@ -161,9 +168,9 @@
 	u.mu.Unlock()
 	if !counted {
 		u.agent.admission.cool("upstream died")
-		u.agent.admission.crashed()
+		u.agent.admission.crashed(crash)
 	}
-	return true
+	return crash, true
 }
 
 // diedSince asks the upstream for its boot id. An upstream that refuses the connection or has another boot id has
--- a/internal/process/entryrunner/suspects.go
+++ b/internal/process/entryrunner/suspects.go
@@ -24,16 +24,16 @@
 func (s *suspects) crashes(d identifier.Digest) int {
 	for _, suspicion := range s.list() {
 		if suspicion.Digest == d {
-			return suspicion.Crashes
+			return len(suspicion.Crashes)
 		}
 	}
 	return 0
 }
 
-// crashed is called when a stream tells that its upstream died. The agent counts the crash and its heartbeat brings
-// the number; this entry must only know that the digest is suspect.
-func (s *suspects) crashed(d identifier.Digest) {
-	s.merge([]messenger.Suspicion{{Digest: d, Crashes: 1}})
+// crashed is called when a stream tells that its upstream died. The agent's heartbeat tells the same, but may come later
+// than the next attempt of this request.
+func (s *suspects) crashed(d identifier.Digest, crash identifier.Crash) {
+	s.merge([]messenger.Suspicion{{Digest: d, Crashes: []identifier.Crash{crash}}})
 }
 
 func (s *suspects) list() []messenger.Suspicion {
@@ -61,7 +61,7 @@
 func total(all []messenger.Suspicion) int {
 	sum := 0
 	for _, s := range all {
-		sum += s.Crashes
+		sum += len(s.Crashes)
 	}
 	return sum
 }
--- a/internal/process/identifier/identifier.go
+++ b/internal/process/identifier/identifier.go
@@ -26,6 +26,8 @@
 	Service string
 	// Key is a caller's Idempotency-Key.
 	Key string
+	// Crash names one death of one upstream, so that reports of the same death count once.
+	Crash string
 	// Digest is a hex digest that stands in for content that must not be stored or logged.
 	Digest string
 )
--- /dev/null
+++ b/internal/prover/verifier/crash_test.go
@@ -0,0 +1,68 @@
+package verifier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/prover/recorder"
+)
+
+const maxCrashes = 2
+
+// fallOvers returns how often engines have died.
+func (s *site) fallOvers() int {
+	records, err := recorder.Collect(s.ctx, recorder.SourcesOf(s.Deployment))
+	require.NoError(s.t, err)
+	sum := 0
+	for _, r := range records {
+		sum += r.Record.Falls
+	}
+	return sum
+}
+
+// Guards against a request that crashes one upstream after the other, sent again and again to all entries, one copy at
+// a time and many at once.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		copies int
+		gap    time.Duration
+	}{
+		{"one after the other", 1, 150 * time.Millisecond},
+		{"all entries at once", 6, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			plan := smallPlan()
+			plan.Groups[0].Ranks = 6
+			plan.EngineArgs = []string{"--down", "500ms"}
+			s := newSite(t, plan)
+			crasher := s.question(0, 0, 50)
+			crasher.Prompt = "crash-engine " + crasher.Prompt
+			for range 8 {
+				for n := range test.copies {
+					entry := s.Entries[n%len(s.Entries)].CallersURL()
+					s.load.Go(func() { s.caller.Ask(s.ctx, entry, crasher) })
+				}
+				time.Sleep(test.gap)
+			}
+			s.load.Wait()
+			require.Eventually(t, func() bool { return s.enginesUp() }, 10*time.Second, 50*time.Millisecond)
+			require.LessOrEqual(t, s.fallOvers(), maxCrashes)
+			s.ask(12, 8, 10*time.Millisecond)
+			s.load.Wait()
+			for _, e := range s.log.Exchanges()[8*test.copies:] {
+				require.Equal(t, 200, e.Status, e.Request)
+			}
+		})
+	}
+}
+
+func (s *site) enginesUp() bool {
+	_, err := recorder.Collect(s.ctx, recorder.SourcesOf(s.Deployment))
+	return err == nil
+}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -17,6 +17,8 @@
 	defaultMaxDigests = 4096
 	// refuseAfter is the number of crashes after which a digest is refused.
 	refuseAfter = 2
+	// maxCrashes bounds the crashes that are kept of a digest; more change no verdict.
+	maxCrashes = 4
 	// maxReported bounds the suspicions of one heartbeat to a few KB.
 	maxReported = 64
 	// echoTolerance separates a later crash from a report of the same crash that was delayed on its way. If a delay
@@ -48,11 +50,20 @@
 }
 
 type record struct {
-	digest  identifier.Digest
-	crashes int
+	digest identifier.Digest
+	// crashes is sorted, without repetition and holds at most maxCrashes.
+	crashes []identifier.Crash
 	last    time.Time
 }
 
+func (r record) add(crashes []identifier.Crash) record {
+	all := slices.Concat(r.crashes, crashes)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	r.crashes = all[:min(len(all), maxCrashes)]
+	return r
+}
+
 // Quarantiner holds the suspected digests that one process knows.
 type Quarantiner struct {
 	expiry     time.Duration
@@ -75,27 +86,28 @@
 	}
 }
 
-// Crashed counts one crash of the upstream for each digest that was running on it.
-func (q *Quarantiner) Crashed(now time.Time, running []identifier.Digest) {
+// Crashed adds a crash of an upstream to each digest that was running on it.
+func (q *Quarantiner) Crashed(now time.Time, crash identifier.Crash, running []identifier.Digest) {
 	q.expire(now)
-	distinct := slices.Clone(running)
-	slices.Sort(distinct)
-	for _, d := range slices.Compact(distinct) {
+	for _, d := range running {
 		if d == "" {
 			continue
 		}
-		q.records[d] = record{digest: d, crashes: q.records[d].crashes + 1, last: now}
+		known := q.records[d].add([]identifier.Crash{crash})
+		known.digest, known.last = d, now
+		q.records[d] = known
 	}
 	q.bound()
 }
 
-// Merge adds the suspicions of another process by maximum.
+// Merge adds the suspicions of another process. Crashes are joined, so that two upstreams that die at the same time
+// count as two and a crash that several processes report counts once.
 func (q *Quarantiner) Merge(now time.Time, suspicions []messenger.Suspicion) {
 	q.expire(now)
 	for _, s := range suspicions {
 		heard := record{digest: s.Digest, crashes: s.Crashes, last: now.Add(-max(0, s.Age))}
 		// A report that is about to expire here may have expired elsewhere, and must not bring the suspicion back.
-		if s.Digest == "" || s.Crashes <= 0 || q.expired(now.Add(echoTolerance), heard) {
+		if s.Digest == "" || len(s.Crashes) == 0 || q.expired(now.Add(echoTolerance), heard) {
 			continue
 		}
 		q.records[s.Digest] = merged(q.records[s.Digest], heard)
@@ -109,7 +121,7 @@
 	switch {
 	case !found || q.expired(now, known):
 		return VerdictClear
-	case known.crashes >= refuseAfter:
+	case len(known.crashes) >= refuseAfter:
 		return VerdictRefuse
 	}
 	return VerdictAlone
@@ -130,9 +142,7 @@
 }
 
 func merged(known, heard record) record {
-	if heard.crashes > known.crashes {
-		known.crashes = heard.crashes
-	}
+	known = known.add(heard.crashes)
 	if known.digest == "" || heard.last.Sub(known.last) > echoTolerance {
 		known.last = heard.last
 	}
@@ -158,7 +168,7 @@
 		return
 	}
 	records := q.sorted(func(a, b record) int {
-		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
+		return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
 	})
 	for _, r := range records[:excess] {
 		delete(q.records, r.digest)
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -19,16 +19,16 @@
 	t.Parallel()
 	a, b := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 	require.Equal(t, quarantiner.VerdictClear, a.Verdict(start, "d"))
-	a.Crashed(start, []identifier.Digest{"d", "d", "", "beside"})
+	a.Crashed(start, "u1/b1", []identifier.Digest{"d", "d", "", "beside"})
 	require.Equal(t, quarantiner.VerdictAlone, a.Verdict(start, "d"), "one crash counts once")
 	b.Merge(start.Add(time.Second), a.Suspicions(start.Add(time.Second)))
 	b.Merge(start.Add(time.Second), a.Suspicions(start.Add(time.Second)))
 	require.Equal(t, quarantiner.VerdictAlone, b.Verdict(start.Add(time.Second), "d"), "a repeated report is no second crash")
-	b.Crashed(start.Add(2*time.Second), []identifier.Digest{"d"})
+	b.Crashed(start.Add(2*time.Second), "u2/b1", []identifier.Digest{"d"})
 	a.Merge(start.Add(3*time.Second), b.Suspicions(start.Add(3*time.Second)))
 	require.Equal(t, quarantiner.VerdictRefuse, a.Verdict(start.Add(3*time.Second), "d"))
 	require.Equal(t, quarantiner.VerdictAlone, a.Verdict(start.Add(3*time.Second), "beside"))
-	b.Merge(start.Add(3*time.Second), []messenger.Suspicion{{Digest: "d", Crashes: 1, Age: time.Minute}})
+	b.Merge(start.Add(3*time.Second), []messenger.Suspicion{{Digest: "d", Crashes: []identifier.Crash{"u1/b1"}, Age: time.Minute}})
 	require.Equal(t, quarantiner.VerdictRefuse, b.Verdict(start.Add(3*time.Second), "d"), "an older report lowers the count")
 	end := start.Add(10*time.Minute + 2*time.Second)
 	require.Equal(t, quarantiner.VerdictRefuse, b.Verdict(end.Add(-time.Nanosecond), "d"))
@@ -40,7 +40,7 @@
 func TestDelayedReportsExpire(t *testing.T) {
 	t.Parallel()
 	processes := []*quarantiner.Quarantiner{quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})}
-	processes[0].Crashed(start, []identifier.Digest{"d"})
+	processes[0].Crashed(start, "u1/b1", []identifier.Digest{"d"})
 	now := start
 	for i := range 1300 {
 		report := processes[i%2].Suspicions(now)
@@ -56,9 +56,9 @@
 func TestMemoryIsBounded(t *testing.T) {
 	t.Parallel()
 	q := quarantiner.New(quarantiner.Config{MaxDigests: 100})
-	q.Merge(start, []messenger.Suspicion{{Digest: "refused", Crashes: 2}})
+	q.Merge(start, []messenger.Suspicion{{Digest: "refused", Crashes: []identifier.Crash{"u1/b1", "u2/b1"}}})
 	for i := range 1000 {
-		q.Merge(start.Add(time.Second), []messenger.Suspicion{{Digest: identifier.Digest(fmt.Sprint(i)), Crashes: 1}})
+		q.Merge(start.Add(time.Second), []messenger.Suspicion{{Digest: identifier.Digest(fmt.Sprint(i)), Crashes: []identifier.Crash{"u1/b1"}}})
 	}
 	known := 0
 	for i := range 1000 {
@@ -70,3 +70,13 @@
 	require.Equal(t, quarantiner.VerdictRefuse, q.Verdict(start.Add(time.Second), "refused"))
 	require.Len(t, q.Suspicions(start.Add(time.Second)), 64)
 }
+
+// Guards against two upstreams that die at the same moment and count as one crash, which would permit a third.
+func TestSimultaneousCrashesCountEach(t *testing.T) {
+	t.Parallel()
+	a, b := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
+	a.Crashed(start, "u1/b1", []identifier.Digest{"d"})
+	b.Crashed(start, "u2/b1", []identifier.Digest{"d"})
+	a.Merge(start, b.Suspicions(start))
+	require.Equal(t, quarantiner.VerdictRefuse, a.Verdict(start, "d"))
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -29,6 +29,10 @@
 // against the step time of the slowest rank.
 const loadBound = 1.25
 
+// ownerCount is the number of likely prefix holders that come before the others. The second takes what the first has
+// no room for, so that copies of a prefix stay on two upstreams.
+const ownerCount = 2
+
 // Reason tells why an upstream was preferred.
 type Reason string
 
@@ -113,7 +117,7 @@
 	rest := make([]Candidate, 0, len(sorted))
 	var choices []Choice
 	for _, c := range owners {
-		if len(choices) == 0 && !c.Suspect && (request.Sticky || load(c) <= bound) {
+		if len(choices) < ownerCount && !c.Suspect && (request.Sticky || load(c) <= bound) {
 			choices = append(choices, Choice{Upstream: c.Upstream, Reason: reason})
 			continue
 		}
--- a/internal/request/streamer/buffer.go
+++ b/internal/request/streamer/buffer.go
@@ -139,9 +139,14 @@
 
 // Fail ends the response as incomplete; readers receive the reason after the bytes that were appended.
 func (b *Buffer) Fail(reason messenger.Reason, mayHaveRun bool) {
+	b.Break(messenger.Broken{Reason: reason, MayHaveRun: mayHaveRun})
+}
+
+// Break is Fail with all that readers learn.
+func (b *Buffer) Break(cause messenger.Broken) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.end(messenger.Broken{Reason: reason, MayHaveRun: mayHaveRun})
+	b.end(cause)
 }
 
 // Acknowledge frees the bytes before offset. Offsets that were acknowledged before change nothing, since
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -34,6 +34,13 @@
 	// noUpstreamWait lets links come up before a request is refused for want of an upstream.
 	noUpstreamWait = 3 * time.Second
 	maxAttempts    = 16
+	// copyWidth is the number of upstreams that identical model requests may run on at the same time. It is the number
+	// of crashes that one request may cost.
+	copyWidth = 2
+	// suspectWidth is the number of upstreams that a request may run on after it took part in a crash.
+	suspectWidth = 1
+	// refuseCrashes is the number of crashes after which a request is refused.
+	refuseCrashes = 2
 )
 
 // ErrCallerGone tells that the caller closed its connection.
@@ -81,10 +88,10 @@
 	Log  *logger.Logger
 	// Candidates returns the upstreams in force for a target.
 	Candidates func(messenger.Target) []router.Candidate
-	// Suspect returns how many upstreams a request digest has crashed.
+	// Suspect returns how many upstreams died while they ran a request digest.
 	Suspect func(identifier.Digest) int
 	// Crashed records that an upstream died while it ran a request digest.
-	Crashed func(identifier.Digest)
+	Crashed func(identifier.Digest, identifier.Crash)
 	Policy  router.Policy
 }
 
@@ -97,14 +104,16 @@
 	queue   *queuer.Queuer
 	waiting map[identifier.Request]chan queuer.Match
 	senders map[identifier.Upstream]*sender
-	running map[identifier.Digest]*placement
-	open    int
+	// copies counts the open requests of each digest.
+	copies map[identifier.Digest]*copies
+	open   int
 }
 
-// placement is the upstream that copies of one request digest run on.
-type placement struct {
-	upstream identifier.Upstream
-	count    int
+// copies are the open requests of one digest.
+type copies struct {
+	count int
+	// second is closed when there is more than one, so that the first restricts its search as well.
+	second chan struct{}
 }
 
 // New returns a dispatcher.
@@ -114,7 +123,7 @@
 	}
 	return &Dispatcher{
 		cfg: cfg, queue: queuer.New(), waiting: map[identifier.Request]chan queuer.Match{},
-		senders: map[identifier.Upstream]*sender{}, running: map[identifier.Digest]*placement{},
+		senders: map[identifier.Upstream]*sender{}, copies: map[identifier.Digest]*copies{},
 	}
 }
 
@@ -146,8 +155,8 @@
 // Serve serves a request to its end. It returns nil if the whole answer was delivered, a *refuser.Problem if the
 // caller must be told why not, and ErrCallerGone if nobody waits for the answer any more.
 func (d *Dispatcher) Serve(ctx context.Context, call Call, sink Sink) error {
-	d.count(1)
-	defer d.count(-1)
+	d.begin(call.Digest)
+	defer d.end(call.Digest)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &session{dispatcher: d, call: call, sink: sink}
@@ -156,10 +165,46 @@
 	return err
 }
 
-func (d *Dispatcher) count(delta int) {
+func (d *Dispatcher) begin(digest identifier.Digest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.open += delta
+	d.open++
+	c, ok := d.copies[digest]
+	if !ok {
+		c = &copies{second: make(chan struct{})}
+		d.copies[digest] = c
+	}
+	c.count++
+	if c.count == 2 {
+		close(c.second)
+	}
+}
+
+func (d *Dispatcher) end(digest identifier.Digest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	c := d.copies[digest]
+	c.count--
+	if c.count == 0 {
+		delete(d.copies, digest)
+	}
+}
+
+// copied returns a channel that is closed once the digest has or had a second open request.
+func (d *Dispatcher) copied(digest identifier.Digest) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.copies[digest].second
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 func (d *Dispatcher) logOutcome(call Call, err error) {
@@ -185,9 +230,7 @@
 		if err != nil {
 			return err
 		}
-		s.dispatcher.place(s.call.Digest, match.Upstream)
 		outcome := s.run(ctx, match)
-		s.dispatcher.unplace(s.call.Digest)
 		if held, ok := outcome.(resultHeld); ok {
 			outcome = s.inquire(ctx, held.claim)
 		}
@@ -218,8 +261,8 @@
 // non-idempotent call, and a service call only while the caller has no byte of its answer. A model stream resumes
 // after the text that the caller has.
 func (s *session) againAfter(r resultBroken) bool {
-	if r.reason == messenger.ReasonUpstreamDied {
-		s.dispatcher.cfg.Crashed(s.call.Digest)
+	if r.crash != "" {
+		s.dispatcher.cfg.Crashed(s.call.Digest, r.crash)
 	}
 	if r.reason == messenger.ReasonMismatch || r.reason == messenger.ReasonDeadline {
 		return false
@@ -271,7 +314,11 @@
 	started := time.Now()
 	ticker := time.NewTicker(reorderInterval)
 	defer ticker.Stop()
+	copied := d.copied(s.call.Digest)
 	for {
+		if d.cfg.Suspect(s.call.Digest) >= refuseCrashes {
+			return queuer.Match{}, s.problem(s.quarantined())
+		}
 		choices := d.order(s.call, avoid)
 		if err := s.checkWait(started, len(choices)); err != nil {
 			return queuer.Match{}, err
@@ -283,6 +330,8 @@
 		case match := <-granted:
 			d.logRouted(s.call, match, choices)
 			return match, nil
+		case <-copied:
+			copied = nil
 		case <-ticker.C:
 		}
 	}
@@ -308,6 +357,14 @@
 	return resultRefused{reason: reason}
 }
 
+// quarantined is not run, unless an earlier attempt delivered a part of the answer.
+func (s *session) quarantined() result {
+	if s.headSent {
+		return resultBroken{reason: messenger.ReasonUpstreamDied, mayHaveRun: true}
+	}
+	return resultRefused{reason: messenger.ReasonQuarantined}
+}
+
 // enter registers a request that is going to wait.
 func (d *Dispatcher) enter(call Call) (<-chan queuer.Match, error) {
 	d.mu.Lock()
@@ -385,53 +442,24 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	request := router.Request{Affinity: call.Affinity, Sticky: call.keyed(), Turn: d.turn.Add(1)}
-	if d.cfg.Suspect(call.Digest) > 0 {
-		// All entries order the upstreams alike for a suspected request, so that its copies meet at one.
-		request = router.Request{Affinity: call.Digest, Sticky: true}
-		return router.Order(d.cfg.Policy, request, candidates)[:1]
-	}
-	choices := router.Order(d.cfg.Policy, request, candidates)
-	return d.withCopies(call, choices)
+	return d.restrict(call, candidates)
 }
 
-// withCopies restricts a model request to the upstream that runs an identical one, so that a request that crashes
-// upstreams does not reach several at once.
-func (d *Dispatcher) withCopies(call Call, choices []router.Choice) []router.Choice {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.running[call.Digest]
-	if !ok || call.Target.Kind != messenger.TargetModel {
-		return choices
-	}
-	for _, c := range choices {
-		if c.Upstream == p.upstream {
-			return []router.Choice{c}
+// restrict orders the candidates. Identical model requests keep to few upstreams, the same at all entries, so that one
+// that crashes upstreams cannot reach many before the first crash is known.
+func (d *Dispatcher) restrict(call Call, candidates []router.Candidate) []router.Choice {
+	request := router.Request{Affinity: call.Affinity, Sticky: call.keyed(), Turn: d.turn.Add(1)}
+	width := len(candidates)
+	if call.Target.Kind == messenger.TargetModel {
+		switch {
+		case d.cfg.Suspect(call.Digest) > 0:
+			request.Sticky, width = true, suspectWidth
+		case closed(d.copied(call.Digest)):
+			request.Sticky, width = true, copyWidth
 		}
 	}
-	return choices
-}
-
-func (d *Dispatcher) place(digest identifier.Digest, upstream identifier.Upstream) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.running[digest]
-	if !ok {
-		p = &placement{}
-		d.running[digest] = p
-	}
-	p.upstream = upstream
-	p.count++
-}
-
-func (d *Dispatcher) unplace(digest identifier.Digest) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.running[digest]
-	p.count--
-	if p.count == 0 {
-		delete(d.running, digest)
-	}
+	choices := router.Order(d.cfg.Policy, request, candidates)
+	return choices[:min(width, len(choices))]
 }
 
 func (d *Dispatcher) logRouted(call Call, m queuer.Match, choices []router.Choice) {
--- a/internal/request/streamer/session.go
+++ b/internal/request/streamer/session.go
@@ -33,6 +33,7 @@
 	resultBroken struct {
 		reason     messenger.Reason
 		mayHaveRun bool
+		crash      identifier.Crash
 	}
 	// resultLost means that the connection failed and the attempt's state is not known.
 	resultLost struct{}
@@ -147,7 +148,7 @@
 	case messenger.Refused:
 		return resultRefused{reason: m.Reason}
 	case messenger.Broken:
-		return resultBroken{reason: m.Reason, mayHaveRun: m.MayHaveRun}
+		return resultBroken{reason: m.Reason, mayHaveRun: m.MayHaveRun, crash: m.Crash}
 	case messenger.ClaimHeld:
 		return resultHeld{claim: m}
 	default:
