Keep copies of a request on two upstreams over refusals

Ruled out: not-ready reports that shift the order; they come 500 ms after the news of the crash. Change: upstreams to avoid are left out after the choice, and a refusal for want of a credit excludes nothing; the first copy restricts its search when the second arrives.

--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -175,7 +175,7 @@
 		d.copies[digest] = c
 	}
 	c.count++
-	if c.count == 2 {
+	if c.count > 1 && !closed(c.second) {
 		close(c.second)
 	}
 }
@@ -237,7 +237,9 @@
 		if !s.again(outcome) {
 			return s.problem(outcome)
 		}
-		avoid[match.Upstream] = time.Now().Add(avoidFor)
+		if leaves(outcome) {
+			avoid[match.Upstream] = time.Now().Add(avoidFor)
+		}
 		s.dispatcher.cfg.Log.Decide(logger.Decision{
 			Event: logger.EventResumed, Request: s.call.Request, Choice: "anotherAttempt", Reason: reasonOf(outcome),
 		})
@@ -284,6 +286,13 @@
 	}
 }
 
+// leaves tells whether the next attempt goes elsewhere for a while. A credit that was revoked in the meantime says
+// nothing against the upstream.
+func leaves(r result) bool {
+	refused, ok := r.(resultRefused)
+	return !ok || (refused.reason != messenger.ReasonNoCredit && refused.reason != messenger.ReasonOldIncarnation)
+}
+
 func reasonOf(r result) string {
 	switch r := r.(type) {
 	case resultRefused:
@@ -295,12 +304,10 @@
 	}
 }
 
-// exhausted returns the problem after the last permitted attempt.
+// exhausted returns the problem after the last permitted attempt. Attempts go on only while none can have run, or while
+// another run does no harm.
 func (s *session) exhausted() error {
-	if s.attempt.started && !s.call.Idempotent && s.call.Target.Kind == messenger.TargetService {
-		return refuser.Unknown(messenger.ReasonAgentLost)
-	}
-	return refuser.NotRun(messenger.ReasonNoCredit, retryAfter)
+	return s.problem(s.waitingFailed(messenger.ReasonNoCredit))
 }
 
 // acquire waits for a credit. The candidates are ordered again while the request waits.
@@ -319,8 +326,8 @@
 		if d.cfg.Suspect(s.call.Digest) >= refuseCrashes {
 			return queuer.Match{}, s.problem(s.quarantined())
 		}
-		choices := d.order(s.call, avoid)
-		if err := s.checkWait(started, len(choices)); err != nil {
+		choices, inService := d.order(s.call, avoid)
+		if err := s.checkWait(started, inService); err != nil {
 			return queuer.Match{}, err
 		}
 		d.enqueue(s.call, choices)
@@ -338,9 +345,9 @@
 }
 
 // checkWait refuses a request that has waited for too long or has no upstream.
-func (s *session) checkWait(started time.Time, choices int) error {
+func (s *session) checkWait(started time.Time, inService int) error {
 	now := time.Now()
-	if choices == 0 && now.Sub(started) > noUpstreamWait {
+	if inService == 0 && now.Sub(started) > noUpstreamWait {
 		return s.problem(s.waitingFailed(messenger.ReasonNoUpstream))
 	}
 	if now.After(s.call.WaitUntil) {
@@ -425,24 +432,21 @@
 	}
 }
 
-// order returns the upstreams to ask, without those that have just refused the request unless all have.
-func (d *Dispatcher) order(call Call, avoid map[identifier.Upstream]time.Time) []router.Choice {
-	all := d.cfg.Candidates(call.Target)
-	now := time.Now()
-	candidates := make([]router.Candidate, 0, len(all))
-	for _, c := range all {
-		if until, ok := avoid[c.Upstream]; ok && now.Before(until) {
-			continue
-		}
-		candidates = append(candidates, c)
-	}
+// order returns the upstreams to ask without those that have just refused the request, and how many upstreams are in
+// service. Upstreams are left out after the choice, so that a refusal does not bring in another one for a copied request.
+func (d *Dispatcher) order(call Call, avoid map[identifier.Upstream]time.Time) ([]router.Choice, int) {
+	candidates := d.cfg.Candidates(call.Target)
 	if len(candidates) == 0 {
-		candidates = all
+		return nil, 0
 	}
-	if len(candidates) == 0 {
-		return nil
+	now := time.Now()
+	var choices []router.Choice
+	for _, c := range d.restrict(call, candidates) {
+		if until, ok := avoid[c.Upstream]; !ok || now.After(until) {
+			choices = append(choices, c)
+		}
 	}
-	return d.restrict(call, candidates)
+	return choices, len(candidates)
 }
 
 // restrict orders the candidates. Identical model requests keep to few upstreams, the same at all entries, so that one
