Read request bodies whole in the demo's fake agent, and say where a text differs

The fake agent's proxy broke off answers that began before it had read the request's body to its end, because the server closes that body when the answer begins. Ruled out: a fault of the engine stand-in, since the proxy's own log shows that it closed the connection; a weaker check in the demo. Change: the fake agent reads the body before it forwards. The judge names the first byte that differs and the lengths, which hold no content. Conclusion: the fault was in the test's fake only. The check that found it is unchanged.

--- a/internal/prover/demonstrator/fake_test.go
+++ b/internal/prover/demonstrator/fake_test.go
@@ -96,7 +96,14 @@
 	proxy := httputil.NewSingleHostReverseProxy(upstream)
 	proxy.FlushInterval = -1
 	go serve(ctx, s.Metrics, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	serve(ctx, s.Fleet, proxy)
+	serve(ctx, s.Fleet, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server closes the body of a request once its answer begins, and the proxy breaks off an answer if it is
+		// still reading that body.
+		body, err := io.ReadAll(r.Body)
+		must(err)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		proxy.ServeHTTP(w, r)
+	}))
 }
 
 type fakeEntry struct {
--- a/internal/prover/recorder/judge.go
+++ b/internal/prover/recorder/judge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -162,12 +163,21 @@
 	if !known {
 		return wrong("no engine has recorded this customer")
 	}
-	if !bytes.Equal(text, expected(e.Model, digest)) {
-		return wrong("text differs")
+	want := expected(e.Model, digest)
+	if !bytes.Equal(text, want) {
+		return wrong(fmt.Sprintf("text differs from byte %d on; it has %d of %d bytes", commonPrefix(text, want), len(text), len(want)))
 	}
 	return Verdict{Outcome: OutcomeComplete}
 }
 
+func commonPrefix(a, b []byte) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
 // judgeStream accepts a text as complete only with the end mark and without a broken connection.
 func judgeStream(e *Exchange, digestOf DigestOf) Verdict {
 	s, err := parseStream(e.Body)
