--- a/internal/request/streamer/buffer.go
+++ b/internal/request/streamer/buffer.go
@@ -297,7 +297,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case false:
+	case b.reader != r:
 		return nil, nil, &ReplacedError{}
 	case r.lastSent:
 		return nil, nil, io.EOF
