Compute the finishing time of each host once when a split is filled

Cause: a profile of 64 ranks shows 66% of the time in fill, a fifth of it in computing the same sums again. Ruled out: copying fewer amounts when a trial is undone, which changed the time by less than its spread between runs (6.5 7.7 9.4 s against 8.5 7.3 8.7 s). Change: fill keeps rank, work and time of each host in one sorted list.

--- a/internal/version/placer/layout.go
+++ b/internal/version/placer/layout.go
@@ -108,6 +108,16 @@
 	}
 }
 
+// host is a rank of an expert with its work for other experts and the time that this work takes.
+type host struct {
+	rank int
+	base float64
+	time float64
+}
+
+// usualHosts is the number of replicas up to which fill needs no allocation.
+const usualHosts = 16
+
 // fill pours the work of one expert into its ranks, lowest finishing time first, and returns the largest change.
 func (l *layout) fill(e int) float64 {
 	hosts := l.hosts[e]
@@ -116,29 +126,32 @@
 		l.put(e, hosts[0], l.popularity[e])
 		return change
 	}
-	var buffer [16]int
-	order := append(buffer[:0], hosts...)
-	base := func(r int) float64 { return l.load[r] - l.amount[e][r] }
-	time := func(r int) float64 { return base(r) / l.ranks[r].Speed }
-	for i := 1; i < len(order); i++ {
-		for j := i; j > 0 && time(order[j]) < time(order[j-1]); j-- {
-			order[j], order[j-1] = order[j-1], order[j]
+	var buffer [usualHosts]host
+	order := buffer[:0]
+	for _, r := range hosts {
+		base := l.load[r] - l.amount[e][r]
+		h := host{rank: r, base: base, time: base / l.ranks[r].Speed}
+		i := len(order)
+		order = append(order, h)
+		for ; i > 0 && h.time < order[i-1].time; i-- {
+			order[i] = order[i-1]
 		}
+		order[i] = h
 	}
 	work, speed, level := l.popularity[e], 0.0, 0.0
-	for i, r := range order {
-		work += base(r)
-		speed += l.ranks[r].Speed
+	for i, h := range order {
+		work += h.base
+		speed += l.ranks[h.rank].Speed
 		level = work / speed
-		if i+1 == len(order) || level <= time(order[i+1]) {
+		if i+1 == len(order) || level <= order[i+1].time {
 			break
 		}
 	}
 	change := 0.0
-	for _, r := range hosts {
-		amount := max(0, level*l.ranks[r].Speed-base(r))
-		change = max(change, math.Abs(amount-l.amount[e][r]))
-		l.put(e, r, amount)
+	for _, h := range order {
+		amount := max(0, level*l.ranks[h.rank].Speed-h.base)
+		change = max(change, math.Abs(amount-l.amount[e][h.rank]))
+		l.put(e, h.rank, amount)
 	}
 	return change
 }
