--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -44,11 +44,14 @@
 	ready    atomic.Bool
 	stepTime atomic.Int64
 
-	mu      sync.Mutex
-	runs    map[runKey]*run
-	boot    identifier.Boot
+	mu     sync.Mutex
+	runs   map[runKey]*run
+	boot   identifier.Boot
+	failed int
+
+	// deaths is held while a death is found and counted.
+	deaths  sync.Mutex
 	crashed identifier.Boot
-	failed  int
 }
 
 func newUpstream(a *Agent) *upstream {
@@ -152,24 +155,20 @@
 // broke is called when a request that started under a boot id lost its upstream. It names the death if the upstream
 // itself died, and counts each death once.
 func (u *upstream) broke(ctx context.Context, boot identifier.Boot) (identifier.Crash, bool) {
-	u.mu.Lock()
-	counted := boot != "" && u.crashed == boot
-	u.mu.Unlock()
 	crash := identifier.Crash(string(u.agent.settings.Upstream) + "/" + string(boot))
-	if counted {
+	// A run leaves the running set when this returns. If it did so before the death is counted, the death would not be
+	// counted against its digest.
+	u.deaths.Lock()
+	defer u.deaths.Unlock()
+	if boot != "" && u.crashed == boot {
 		return crash, true
 	}
 	if !u.diedSince(ctx, boot) {
 		return "", false
 	}
-	u.mu.Lock()
-	counted = u.crashed == boot
 	u.crashed = boot
-	u.mu.Unlock()
-	if !counted {
-		u.agent.admission.cool("upstream died")
-		u.agent.admission.crashed(crash)
-	}
+	u.agent.admission.crashed(crash)
+	u.agent.admission.cool("upstream died")
 	return crash, true
 }
 
