Plan at once when a sudden change is detected

Cause: after a sudden change 64 ranks stay above a skew of 1.10 for 6 to 7 s, of which up to 5 s pass until the next plan. Ruled out: shorter intervals at all times, which make more plans in the steady part without need.

--- a/internal/prover/bencher/skew.go
+++ b/internal/prover/bencher/skew.go
@@ -111,6 +111,7 @@
 	nextAt    time.Duration
 	tokens    [][]float64
 	busy      []float64
+	jumps     int
 	result    SkewResult
 	steady    []float64
 	floor     []float64
@@ -141,7 +142,7 @@
 		if step%perReport == 0 {
 			r.report(at)
 		}
-		if step%perPlan == 0 {
+		if step%perPlan == 0 || r.jumped() {
 			if err := r.plan(at); err != nil {
 				return SkewResult{}, err
 			}
@@ -154,6 +155,13 @@
 	return r.result, nil
 }
 
+// jumped tells once that the estimator has detected a sudden change, which does not wait for the next interval.
+func (r *skewRun) jumped() bool {
+	before := r.jumps
+	r.jumps = r.estimator.Jumps()
+	return r.jumps > before
+}
+
 func (r *skewRun) generate() {
 	for range r.Experts {
 		r.base = append(r.base, r.random.NormFloat64()*r.Spread)
