--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -234,6 +234,9 @@
 		if held, ok := outcome.(resultHeld); ok {
 			outcome = s.inquire(ctx, held.claim)
 		}
+		if broken, ok := outcome.(resultBroken); ok && broken.mayHaveRun {
+			s.mayHaveRun = true
+		}
 		if !s.again(outcome) {
 			return s.problem(outcome)
 		}
@@ -307,15 +310,15 @@
 // exhausted returns the problem after the last permitted attempt. Attempts go on only while none can have run, or while
 // another run does no harm.
 func (s *session) exhausted() error {
-	return s.problem(s.waitingFailed(messenger.ReasonNoCredit))
+	return s.refused(messenger.ReasonNoCredit)
 }
 
 // acquire waits for a credit. The candidates are ordered again while the request waits.
 func (s *session) acquire(ctx context.Context, avoid map[identifier.Upstream]time.Time) (queuer.Match, error) {
 	d := s.dispatcher
-	granted, err := d.enter(s.call)
-	if err != nil {
-		return queuer.Match{}, err
+	granted, ok := d.enter(s.call)
+	if !ok {
+		return queuer.Match{}, s.refused(messenger.ReasonQueueFull)
 	}
 	defer d.leave(s.call.Request)
 	started := time.Now()
@@ -324,7 +327,7 @@
 	copied := d.copied(s.call.Digest)
 	for {
 		if d.cfg.Suspect(s.call.Digest) >= refuseCrashes {
-			return queuer.Match{}, s.problem(s.quarantined())
+			return queuer.Match{}, s.refused(messenger.ReasonQuarantined)
 		}
 		choices, inService := d.order(s.call, avoid)
 		if err := s.checkWait(started, inService); err != nil {
@@ -364,24 +367,16 @@
 	return resultRefused{reason: reason}
 }
 
-// quarantined is not run, unless an earlier attempt delivered a part of the answer.
-func (s *session) quarantined() result {
-	if s.headSent {
-		return resultBroken{reason: messenger.ReasonUpstreamDied, mayHaveRun: true}
-	}
-	return resultRefused{reason: messenger.ReasonQuarantined}
-}
-
-// enter registers a request that is going to wait.
-func (d *Dispatcher) enter(call Call) (<-chan queuer.Match, error) {
+// enter registers a request that is going to wait, unless too many of its customer wait already.
+func (d *Dispatcher) enter(call Call) (<-chan queuer.Match, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if call.MaxWaiting > 0 && d.queue.Waiting(call.Customer) >= call.MaxWaiting {
-		return nil, refuser.NotRun(messenger.ReasonQueueFull, retryAfter)
+		return nil, false
 	}
 	granted := make(chan queuer.Match, 1)
 	d.waiting[call.Request] = granted
-	return granted, nil
+	return granted, true
 }
 
 // leave unregisters a request. A credit that it did not take in time goes back.
