Run the map machines at the agents of a group

Cause: lease, placer and switcher had no shell, so no group changed its map. Ruled out: a full mesh of links between ranks, whose heartbeats alone exceed 6 KB/s at 64 ranks; only the leader links to all. Change: package coordinator runs the machines against table, engine and other ranks; agents exchange GroupEvent; two agents of each failure domain compete for the lease; engines without experts take part in no map.

--- a/internal/connection/encoder/encoder.go
+++ b/internal/connection/encoder/encoder.go
@@ -53,6 +53,7 @@
 	tagClaimHeld
 	tagExplain
 	tagExplained
+	tagGroupEvent
 )
 
 // Write sends one message as one frame.
@@ -139,6 +140,8 @@
 		return tagExplain, encodeExplain(m), nil
 	case messenger.Explained:
 		return tagExplained, encodeExplained(m), nil
+	case messenger.GroupEvent:
+		return tagGroupEvent, encodeGroupEvent(m), nil
 	}
 	return 0, nil, errors.AssertionFailedf("message %T has no wire form", m)
 }
@@ -189,6 +192,8 @@
 		return decodeAs(body, decodeExplain)
 	case tagExplained:
 		return decodeAs(body, decodeExplained)
+	case tagGroupEvent:
+		return decodeAs(body, decodeGroupEvent)
 	}
 	return nil, &FrameError{Cause: "unknown message type"}
 }
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -258,6 +258,14 @@
 	}
 )
 
+// GroupEvent carries an event between the agents of a model group. Body is in the codec of version/coordinator.
+type GroupEvent struct {
+	Group identifier.ModelGroup
+	From  identifier.Rank
+	Kind  string
+	Body  []byte
+}
+
 type (
 	// Explain asks a node for its recent decisions on a request.
 	Explain struct{ Request identifier.Request }
@@ -280,6 +288,7 @@
 	}
 )
 
+func (GroupEvent) message()  {}
 func (Explain) message()     {}
 func (Explained) message()   {}
 func (Hello) message()       {}
--- a/internal/process/adapter/adapter.go
+++ b/internal/process/adapter/adapter.go
@@ -9,6 +9,8 @@
 	"currantledge.example/currantledge/internal/connection/storer"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/version/configurer"
+	"currantledge.example/currantledge/internal/version/coordinator"
+	"currantledge.example/currantledge/internal/version/leaser"
 )
 
 // Configuration returns the table as the configuration's writer uses it.
@@ -77,3 +79,57 @@
 	}
 	return versions, err
 }
+
+// leaseTable is the table as leases use it.
+type leaseTable struct{ client *storer.Client }
+
+// Leases returns the table as the leaser uses it.
+func Leases(client *storer.Client) leaser.Table {
+	return leaseTable{client: client}
+}
+
+// Transact applies all writes if all conditions hold.
+func (t leaseTable) Transact(ctx context.Context, conditions []leaser.Condition, writes []leaser.Put) (map[string]uint64, error) {
+	return t.client.Transact(ctx,
+		convert(conditions, func(c leaser.Condition) storer.Condition { return storer.Condition(c) }),
+		convert(writes, func(w leaser.Put) storer.Write { return storer.Write(w) }),
+	)
+}
+
+// Get returns the rows that exist.
+func (t leaseTable) Get(ctx context.Context, keys ...string) ([]leaser.Row, error) {
+	rows, err := t.client.Get(ctx, keys...)
+	return convert(rows, func(r storer.Row) leaser.Row { return leaser.Row(r) }), err
+}
+
+// mapTable is the table as groups use it.
+type mapTable struct{ client *storer.Client }
+
+// Maps returns the table as the coordinator uses it.
+func Maps(client *storer.Client) coordinator.Table {
+	return mapTable{client: client}
+}
+
+// Read returns the row, or an empty one if it is absent.
+func (t mapTable) Read(ctx context.Context, key string) (coordinator.Row, error) {
+	rows, err := t.client.Get(ctx, key)
+	if err != nil || len(rows) == 0 {
+		return coordinator.Row{}, err
+	}
+	return coordinator.Row{Version: rows[0].Version, Value: rows[0].Value}, nil
+}
+
+// Write sets the row if it has the version of the condition.
+func (t mapTable) Write(ctx context.Context, key string, condition uint64, value []byte) (uint64, error) {
+	versions, err := t.client.Transact(ctx,
+		[]storer.Condition{{Key: key, Version: condition}}, []storer.Write{{Key: key, Value: value}})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		for _, row := range conflict.Rows {
+			if row.Key == key {
+				return 0, &coordinator.ConflictError{Row: coordinator.Row{Version: row.Version, Value: row.Value}}
+			}
+		}
+	}
+	return versions[key], err
+}
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -64,6 +64,7 @@
 	claims      *claimer.Claimer
 	upstream    *upstream
 	links       *links
+	member      *member
 	peers       *dialer.Dialer
 	stopping    atomic.Bool
 	// records counts the writes of answers that are under way.
@@ -102,6 +103,7 @@
 	}
 	a.admission = newAdmission(a)
 	a.upstream = newUpstream(a)
+	a.member = newMember(a)
 	a.claims = claimer.New(claimer.Config{
 		Table: adapter.Claims(a.platform), Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
 	})
@@ -138,6 +140,9 @@
 	group.Add(a.tick)
 	group.Add(a.upstream.watch)
 	group.Add(a.dialPeers)
+	if a.upstream.engine != nil {
+		group.Add(a.member.run)
+	}
 	if a.settings.Metrics != "" {
 		metrics, err := net.Listen("tcp", a.settings.Metrics)
 		if err != nil {
--- a/internal/process/agentrunner/links.go
+++ b/internal/process/agentrunner/links.go
@@ -69,6 +69,10 @@
 		a.links.add(link)
 		defer a.forget(link)
 	}
+	if link.Peer().Role == identifier.RoleAgent {
+		a.member.add(link)
+		defer a.member.remove(link)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var streams sync.WaitGroup
@@ -113,6 +117,8 @@
 		a.admission.update(func(now time.Time, g *granter.Granter) []granter.Issue {
 			return g.Return(now, entry, m)
 		})
+	case messenger.GroupEvent:
+		a.member.receive(link, m)
 	case messenger.Heartbeat:
 		a.admission.merge(m.Suspicions)
 		a.distributor.Seen(link, m.Revision)
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -122,6 +122,7 @@
 		u.agent.admission.cool("upstream restarted")
 	}
 	u.stepTime.Store(int64(report.StepTime))
+	u.agent.member.report(report)
 	u.setReady(true)
 	return died
 }
