Count the bytes of links

Cause: the design bounds control traffic to 8 KB/s for each node, and no process could tell how much it sends. Ruled out: counting at the UDP sockets, because the listener shares one socket for all links and request data could not be told from control data. Change: each link adds QUIC packet bytes from the connection's statistics and frame bytes of its control stream to one counter of the process. Figures: none before; the test sends heartbeats in both directions and finds equal frame bytes at both ends.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -44,6 +44,8 @@
 	Hello func() messenger.Hello
 	// Heartbeat returns the content of the next heartbeat; the link sets its sequence number.
 	Heartbeat func() messenger.Heartbeat
+	// Traffic counts the bytes of all links of the process. It may be nil.
+	Traffic *Traffic
 }
 
 // QUIC returns the transport settings of both sides. The idle timeout is longer than the silence that the
@@ -72,6 +74,7 @@
 	busySince atomic.Int64
 	wake      chan struct{}
 	posted    chan messenger.Message
+	counted   counted
 }
 
 // Greet exchanges Hello messages over a new connection and checks the peer's identity. The dialling side opens
@@ -79,6 +82,9 @@
 func Greet(ctx context.Context, cfg Config, conn *quic.Conn, dialled bool) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	if cfg.Traffic == nil {
+		cfg.Traffic = &Traffic{}
+	}
 	identity, err := authenticator.Peer(conn.ConnectionState().TLS)
 	if err != nil {
 		return nil, err
@@ -99,7 +105,7 @@
 	if err := l.control.SetReadDeadline(deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline of control stream")
 	}
-	first, err := encoder.Read(l.control)
+	first, err := encoder.Read(countingReader{l.control, &cfg.Traffic.controlReceived})
 	if err != nil {
 		return nil, errors.Wrap(err, "read greeting")
 	}
@@ -141,7 +147,7 @@
 	if err := l.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline of control stream")
 	}
-	return encoder.Write(l.control, m)
+	return encoder.Write(countingWriter{l.control, &l.cfg.Traffic.controlSent}, m)
 }
 
 // Post sends a message without waiting for the transport. A peer that does not take its messages loses the link.
@@ -171,12 +177,13 @@
 	cause := context.Cause(ctx)
 	l.Close(cause.Error())
 	parts.Wait()
+	l.countTraffic()
 	return cause
 }
 
 func (l *Link) read(handle func(messenger.Message)) error {
 	for {
-		m, err := encoder.Read(l.control)
+		m, err := encoder.Read(countingReader{l.control, &l.cfg.Traffic.controlReceived})
 		if err != nil {
 			return errors.Wrap(err, "read control stream")
 		}
@@ -242,6 +249,7 @@
 				l.hear()
 			}
 			last = now
+			l.countTraffic()
 			if silent := l.silentFor(now); silent > 0 {
 				return &SilentError{For: silent}
 			}
--- /dev/null
+++ b/internal/connection/linker/traffic.go
@@ -0,0 +1,60 @@
+package linker
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of all links of a process. It is safe for concurrent use.
+type Traffic struct {
+	sent, received               atomic.Int64
+	controlSent, controlReceived atomic.Int64
+}
+
+// Sent returns the bytes of all QUIC packets sent, without UDP and IP headers.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received returns the bytes of all QUIC packets received, without UDP and IP headers.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// ControlSent returns the bytes of the frames sent on control streams.
+func (t *Traffic) ControlSent() int64 { return t.controlSent.Load() }
+
+// ControlReceived returns the bytes of the frames received on control streams.
+func (t *Traffic) ControlReceived() int64 { return t.controlReceived.Load() }
+
+// counted holds the packet bytes of one link that Traffic already contains.
+type counted struct{ sent, received int64 }
+
+// countTraffic adds the packet bytes since the last call. It is not safe for concurrent use.
+func (l *Link) countTraffic() {
+	stats := l.conn.ConnectionStats()
+	now := counted{sent: int64(stats.BytesSent), received: int64(stats.BytesReceived)}
+	l.cfg.Traffic.sent.Add(now.sent - l.counted.sent)
+	l.cfg.Traffic.received.Add(now.received - l.counted.received)
+	l.counted = now
+}
+
+type countingWriter struct {
+	io.Writer
+	count *atomic.Int64
+}
+
+// Write counts what was written.
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.count.Add(int64(n))
+	return n, err
+}
+
+type countingReader struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+// Read counts what was read.
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -86,3 +86,39 @@
 		})
 	}
 }
+
+// Guards against counters that miss the frames or packets of one direction of a link.
+func TestTrafficIsCounted(t *testing.T) {
+	t.Parallel()
+	const address = "127.0.0.1:20905"
+	fleet := authority(t)
+	entry := authenticator.Identity{Node: "entry-1", Role: identifier.RoleEntry}
+	agent := authenticator.Identity{Node: "agent-1", Role: identifier.RoleAgent}
+	accepting, dialling := config(t, fleet, agent, agent), config(t, fleet, entry, entry)
+	accepting.Traffic, dialling.Traffic = &linker.Traffic{}, &linker.Traffic{}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	heard := make(chan struct{}, 64)
+	serve := func(ctx context.Context, link *linker.Link) error {
+		return link.Run(ctx, func(messenger.Message) { heard <- struct{}{} })
+	}
+	l, err := listener.New(listener.Config{Address: address, Log: logger.Discard(), Link: accepting, Serve: serve})
+	require.NoError(t, err)
+	go func() { _ = l.Run(ctx) }()
+	d := dialer.New(dialer.Config{Log: logger.Discard(), Listen: "127.0.0.1:0", Link: dialling, Serve: serve})
+	d.Want(ctx, []string{address})
+	// Both sides send a heartbeat at once.
+	for range 2 {
+		select {
+		case <-heard:
+		case <-ctx.Done():
+			require.Fail(t, "no heartbeat")
+		}
+	}
+	require.Eventually(t, func() bool {
+		a, b := accepting.Traffic, dialling.Traffic
+		sent, received := a.ControlSent()+b.ControlSent(), a.ControlReceived()+b.ControlReceived()
+		return sent > 0 && sent == received && a.Sent() > a.ControlSent() && b.Sent() > b.ControlSent() &&
+			a.Received() > a.ControlReceived() && b.Received() > b.ControlReceived()
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -65,6 +65,7 @@
 	upstream    *upstream
 	links       *links
 	peers       *dialer.Dialer
+	traffic     *linker.Traffic
 	stopping    atomic.Bool
 	// records counts the writes of answers that are under way.
 	records sync.WaitGroup
@@ -99,6 +100,7 @@
 		platform:    storer.New(storer.Config{BaseURL: s.Platform, Timeout: platformTimeout}),
 		answers:     streamer.NewRegistry(streamer.RegistryConfig{}),
 		links:       newLinks(),
+		traffic:     &linker.Traffic{},
 	}
 	a.admission = newAdmission(a)
 	a.upstream = newUpstream(a)
@@ -117,10 +119,19 @@
 	m.Gauge(meter.UpstreamRunning, func() int64 { return int64(a.admission.load().Running) })
 	m.Gauge(meter.UpstreamLimit, func() int64 { return int64(a.admission.load().Limit) })
 	m.Gauge(meter.CreditsGranted, func() int64 { return int64(a.admission.load().Granted) })
+	a.publishTraffic(m)
+}
+
+// publishTraffic sets the counters of the links.
+func (a *Agent) publishTraffic(m *meter.Meter) {
+	m.Gauge(meter.LinkBytesSent, a.traffic.Sent)
+	m.Gauge(meter.LinkBytesReceived, a.traffic.Received)
+	m.Gauge(meter.ControlBytesSent, a.traffic.ControlSent)
+	m.Gauge(meter.ControlBytesReceived, a.traffic.ControlReceived)
 }
 
 func (a *Agent) linkConfig() linker.Config {
-	return linker.Config{Credentials: a.credentials, Hello: a.hello, Heartbeat: a.heartbeat}
+	return linker.Config{Credentials: a.credentials, Hello: a.hello, Heartbeat: a.heartbeat, Traffic: a.traffic}
 }
 
 func (a *Agent) run(ctx context.Context) error {
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -62,6 +62,7 @@
 	peers       *peers
 	agents      *dialer.Dialer
 	entries     *dialer.Dialer
+	traffic     *linker.Traffic
 	stopping    atomic.Bool
 	http        http.Handler
 }
@@ -95,6 +96,7 @@
 		nodes:       registrar.New(),
 		pool:        pooler.New(),
 		peers:       newPeers(),
+		traffic:     &linker.Traffic{},
 	}
 	e.suspects = newSuspects(quarantiner.New(quarantiner.Config{}), e.spreadSuspicions)
 	e.writer = configurer.NewWriter(configurer.WriterConfig{Table: adapter.Configuration(e.platform), Store: e.store})
@@ -103,15 +105,24 @@
 		Pool: e.pool, Log: e.log, Candidates: e.candidates, Suspect: e.suspects.crashes, Crashed: e.suspects.crashed,
 		Policy: policy(s.Routing),
 	})
-	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat}
+	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat, Traffic: e.traffic}
 	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveAgent})
 	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveEntry})
 	metrics.Gauge(meter.RequestsOpen, func() int64 { return int64(e.dispatcher.Open()) })
 	metrics.Gauge(meter.ConfigRevision, func() int64 { return int64(e.store.Revision()) })
+	e.publishTraffic(metrics)
 	e.http, err = newCallers(e)
 	return e, err
 }
 
+// publishTraffic sets the counters of the links.
+func (e *Entry) publishTraffic(m *meter.Meter) {
+	m.Gauge(meter.LinkBytesSent, e.traffic.Sent)
+	m.Gauge(meter.LinkBytesReceived, e.traffic.Received)
+	m.Gauge(meter.ControlBytesSent, e.traffic.ControlSent)
+	m.Gauge(meter.ControlBytesReceived, e.traffic.ControlReceived)
+}
+
 func policy(name loader.Routing) router.Policy {
 	switch name {
 	case loader.RoutingRoundRobin:
@@ -133,7 +144,7 @@
 	}
 	fleet, err := listener.New(listener.Config{
 		Address: e.settings.Fleet, Log: e.log, Serve: e.serveAccepted,
-		Link: linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat},
+		Link: linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat, Traffic: e.traffic},
 	})
 	if err != nil {
 		return err
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -39,5 +39,9 @@
 		{ClaimsWon, TypeCounter, "claims"},
 		{ClaimsHeld, TypeCounter, "claims"},
 		{ClaimsUnsure, TypeCounter, "claims"},
+		{LinkBytesSent, TypeCounter, "bytes"},
+		{LinkBytesReceived, TypeCounter, "bytes"},
+		{ControlBytesSent, TypeCounter, "bytes"},
+		{ControlBytesReceived, TypeCounter, "bytes"},
 	}
 }
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -31,6 +31,11 @@
 	ClaimsWon         Name = "claimsWon"
 	ClaimsHeld        Name = "claimsHeld"
 	ClaimsUnsure      Name = "claimsUnsure"
+
+	LinkBytesSent        Name = "linkBytesSent"
+	LinkBytesReceived    Name = "linkBytesReceived"
+	ControlBytesSent     Name = "controlBytesSent"
+	ControlBytesReceived Name = "controlBytesReceived"
 )
 
 const published = "currantledge"
@@ -54,7 +59,7 @@
 	m.vars.Add(string(name), 1)
 }
 
-// Gauge sets the function that reads a gauge.
+// Gauge sets the function that reads a gauge, or a counter that is kept elsewhere.
 func (m *Meter) Gauge(name Name, read func() int64) {
 	m.vars.Set(string(name), expvar.Func(func() any { return read() }))
 }
