Add the bench with its measures and make bench

Cause: the design's measures had no command that prints them. Ruled out: reusing the load of the demo, because it mixes service calls with model requests and has no fixed share of the capacity.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 demo: build
 	bin/prover demo
+
+bench: build
+	bin/prover bench
--- a/cmd/prover/commands.go
+++ b/cmd/prover/commands.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"currantledge.example/currantledge/internal/prover/bencher"
 	"currantledge.example/currantledge/internal/prover/demonstrator"
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/testrunner"
@@ -23,6 +24,7 @@
 	}{
 		{"test", "run go test with the arguments after --", &testCommand{ctx: ctx}},
 		{"demo", "run the demo", &demoCommand{ctx: ctx}},
+		{"bench", "run the bench", &benchCommand{ctx: ctx}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
@@ -50,15 +52,7 @@
 
 // Execute runs the command.
 func (c *demoCommand) Execute([]string) error {
-	folder := c.Binaries
-	if folder == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "find the folder of this binary; give --binaries")
-		}
-		folder = filepath.Dir(self)
-	}
-	binaries, err := launcher.FindBinaries(folder)
+	binaries, err := findBinaries(c.Binaries)
 	if err != nil {
 		return err
 	}
@@ -71,3 +65,37 @@
 		Output:   os.Stdout,
 	})
 }
+
+// findBinaries returns the binaries in a folder, or in that of this binary if the folder is empty.
+func findBinaries(folder string) (launcher.Binaries, error) {
+	if folder == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return launcher.Binaries{}, errors.Wrap(err, "find the folder of this binary; give --binaries")
+		}
+		folder = filepath.Dir(self)
+	}
+	return launcher.FindBinaries(folder)
+}
+
+type benchCommand struct {
+	ctx      context.Context
+	Binaries string `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
+	Only     string `long:"only" value-name:"NAME" description:"run one measure"`
+	Runs     int    `long:"runs" default:"3" description:"runs of each measure, of which the median counts"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the loads"`
+}
+
+// Execute runs the command.
+func (c *benchCommand) Execute([]string) error {
+	binaries, err := findBinaries(c.Binaries)
+	if err != nil {
+		return err
+	}
+	if c.Runs < 1 {
+		return errors.Newf("--runs %d measures nothing; use 1 or more", c.Runs)
+	}
+	return bencher.Run(c.ctx, bencher.Config{
+		Binaries: binaries, Only: c.Only, Runs: c.Runs, Seed: c.Seed, Output: os.Stdout, Progress: os.Stderr,
+	})
+}
--- a/cmd/prover/main.go
+++ b/cmd/prover/main.go
@@ -1,4 +1,4 @@
-// Command prover runs the project's tests and demo.
+// Command prover runs the project's tests, demo and bench.
 package main
 
 import (
--- /dev/null
+++ b/internal/prover/bencher/control.go
@@ -0,0 +1,175 @@
+package bencher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/prover/launcher"
+)
+
+const (
+	// controlSettle lets links and timers settle after the start.
+	controlSettle = 3 * time.Second
+	controlPeriod = 6 * time.Second
+	// lightRate is the number of requests per second of the whole fleet under light load.
+	lightRate = 10.0
+	// maxVars bounds what is read from /debug/vars.
+	maxVars = 4 << 20
+)
+
+// reading is what one node has used and sent so far.
+type reading struct {
+	usage
+	link, control int64
+}
+
+// control measures what a node uses in fleets of several sizes, idle and under light load.
+func control(ctx context.Context, b *bench) ([]Figure, error) {
+	var figures []Figure
+	for _, n := range fleetSizes {
+		b.note("%d nodes", n)
+		runs, err := b.runControl(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		figures = append(figures, plain(medians(runs))...)
+	}
+	return figures, nil
+}
+
+func (b *bench) runControl(ctx context.Context, nodes int) ([][]sample, error) {
+	f, err := b.deploy(ctx, fleetPlan(nodes))
+	if err != nil {
+		return nil, err
+	}
+	pause(ctx, controlSettle)
+	var runs [][]sample
+	t := newTraffic(ctx, f)
+	for run := range b.cfg.Runs {
+		idle, err := f.watch(ctx, nodes, "idle", func() { pause(ctx, controlPeriod) })
+		if err != nil {
+			return nil, errors.CombineErrors(err, f.close(ctx))
+		}
+		m := shortAnswers
+		m.rate = evenly(lightRate, len(f.Plan.Customers))
+		light, err := f.watch(ctx, nodes, "light", func() { t.run(m, b.cfg.Seed+uint64(run), controlPeriod) })
+		if err != nil {
+			return nil, errors.CombineErrors(err, f.close(ctx))
+		}
+		t.calls.Wait()
+		runs = append(runs, append(idle, light...))
+	}
+	t.finish()
+	return runs, f.close(ctx)
+}
+
+// watch returns the mean use of a node of each role during a function.
+func (f *fleet) watch(ctx context.Context, nodes int, load string, during func()) ([]sample, error) {
+	before, err := f.readings(ctx)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	during()
+	after, err := f.readings(ctx)
+	if err != nil {
+		return nil, err
+	}
+	seconds := time.Since(began).Seconds()
+	var samples []sample
+	for _, role := range []string{"Entry", "Agent"} {
+		sum, count := total(before[role], after[role])
+		name := func(kind string) string { return fmt.Sprintf("%s%s@%d/%s", kind, role, nodes, load) }
+		const percent, kilobyte, megabyte = 100, 1000, 1 << 20
+		samples = append(samples,
+			sample{name("controlCpu"), percent * sum.cpu.Seconds() / seconds / count, "%core"},
+			sample{name("controlMemory"), float64(sum.resident) / count / megabyte, "MiB"},
+			sample{name("controlMemoryAnonymous"), float64(sum.anonymous) / count / megabyte, "MiB"},
+			sample{name("controlBytes"), float64(sum.control) / seconds / count / kilobyte, "KB/s"},
+			sample{name("linkBytes"), float64(sum.link) / seconds / count / kilobyte, "KB/s"},
+		)
+	}
+	return samples, nil
+}
+
+// total returns the growth of times and bytes and the last sizes of memory, summed over nodes, and the number of nodes.
+func total(before, after []reading) (reading, float64) {
+	var sum reading
+	for i := range after {
+		sum.cpu += after[i].cpu - before[i].cpu
+		sum.resident += after[i].resident
+		sum.anonymous += after[i].anonymous
+		sum.link += after[i].link - before[i].link
+		sum.control += after[i].control - before[i].control
+	}
+	return sum, float64(len(after))
+}
+
+// readings reads all nodes, by role and in the order of the deployment.
+func (f *fleet) readings(ctx context.Context) (map[string][]reading, error) {
+	out := map[string][]reading{}
+	for _, e := range f.Entries {
+		vars, err := f.OperateAt(ctx, e, http.MethodGet, "/debug/vars", nil)
+		if err != nil {
+			return nil, err
+		}
+		r, err := readingOf(&e.Node, vars)
+		if err != nil {
+			return nil, err
+		}
+		out["Entry"] = append(out["Entry"], r)
+	}
+	for _, a := range f.Agents {
+		vars, err := get(ctx, "http://"+a.Metrics+"/debug/vars")
+		if err != nil {
+			return nil, err
+		}
+		r, err := readingOf(&a.Node, vars)
+		if err != nil {
+			return nil, err
+		}
+		out["Agent"] = append(out["Agent"], r)
+	}
+	return out, nil
+}
+
+func readingOf(n *launcher.Node, vars []byte) (reading, error) {
+	var published struct {
+		Metrics map[meter.Name]int64 `json:"currantledge"`
+	}
+	if err := json.Unmarshal(vars, &published); err != nil {
+		return reading{}, errors.Wrapf(err, "decode the metrics of %s", n.Name)
+	}
+	m := published.Metrics
+	r := reading{
+		link:    m[meter.LinkBytesSent] + m[meter.LinkBytesReceived],
+		control: m[meter.ControlBytesSent] + m[meter.ControlBytesReceived],
+	}
+	var err error
+	r.usage, err = usageOf(n.Process.PID())
+	return r, err
+}
+
+func get(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("read metrics: %s", response.Status)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxVars))
+	return raw, errors.Wrap(err, "read metrics")
+}
--- /dev/null
+++ b/internal/prover/bencher/domain.go
@@ -0,0 +1,268 @@
+package bencher
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/prover/launcher"
+	"currantledge.example/currantledge/internal/prover/recorder"
+)
+
+const (
+	warmUp       = 5 * time.Second
+	beforeLeave  = 3 * time.Second
+	outPeriod    = 9 * time.Second
+	returnPeriod = 7 * time.Second
+	// settlePeriod is the time after a change from which the target for the time to first token applies.
+	settlePeriod = 5 * time.Second
+	// fullUsePart is the part of its even share of new work from which a failure domain counts as fully used.
+	fullUsePart   = 0.8
+	fullUseWindow = time.Second
+	fullUseStep   = 100 * time.Millisecond
+	p50           = 0.50
+	p95           = 0.95
+)
+
+var domainLoads = []float64{0.60, 0.85}
+
+// shortAnswers has a mean of 20 tokens.
+var shortAnswers = mix{minTokens: 10, maxTokens: 30, prefixes: 4}
+
+// cycle holds the times at which a failure domain was taken out and returned.
+type cycle struct {
+	began, out, in, ended time.Time
+}
+
+// domain takes a failure domain out of a loaded deployment and returns it.
+func domain(ctx context.Context, b *bench) ([]Figure, error) {
+	var figures []Figure
+	for _, load := range domainLoads {
+		results := map[string][]sample{}
+		for _, routing := range []string{routingBalanced, routingRoundRobin, routingLeastLoaded} {
+			b.note("load %.0f%%, routing %s", 100*load, routing)
+			runs, err := b.runDomain(ctx, routing, load)
+			if err != nil {
+				return nil, err
+			}
+			results[routing] = medians(runs)
+		}
+		figures = append(figures, compared(results[routingBalanced], map[string][]sample{
+			routingRoundRobin: results[routingRoundRobin], routingLeastLoaded: results[routingLeastLoaded],
+		})...)
+	}
+	return figures, nil
+}
+
+// runDomain measures all runs on one deployment, which is warm from the first one on.
+func (b *bench) runDomain(ctx context.Context, routing string, load float64) ([][]sample, error) {
+	plan := smallPlan()
+	plan.Routing = routing
+	f, err := b.deploy(ctx, plan)
+	if err != nil {
+		return nil, err
+	}
+	cycles, err := b.runCycles(ctx, f, load)
+	if err != nil {
+		return nil, errors.CombineErrors(err, f.close(ctx))
+	}
+	records, err := recorder.Collect(ctx, recorder.SourcesOf(f.Deployment))
+	if err := errors.CombineErrors(err, f.close(ctx)); err != nil {
+		return nil, err
+	}
+	report := recorder.Examine(f.log.Exchanges(), records)
+	b.noteViolations(report)
+	var runs [][]sample
+	for _, c := range cycles {
+		runs = append(runs, c.samples(f, report, records, load))
+	}
+	return runs, nil
+}
+
+func (b *bench) noteViolations(report recorder.Report) {
+	for _, v := range report.Violations {
+		b.note("violation: %s", v)
+	}
+	for _, v := range report.Verdicts {
+		switch v.Outcome {
+		case recorder.OutcomeComplete, recorder.OutcomeNotRun:
+		default:
+			b.note("%s %s %s", v.Outcome, v.Cause, v.Detail)
+		}
+	}
+}
+
+func (b *bench) runCycles(ctx context.Context, f *fleet, load float64) ([]cycle, error) {
+	m := shortAnswers
+	m.rate = evenly(rateAt(f.Plan, load, m.meanTokens()), len(f.Plan.Customers))
+	t := newTraffic(ctx, f)
+	defer t.finish()
+	t.run(m, b.cfg.Seed, warmUp)
+	var cycles []cycle
+	leaving := f.Plan.FailureDomains[1]
+	for run := range b.cfg.Runs {
+		seed := b.cfg.Seed + uint64(run) + 1
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			t.run(m, seed, beforeLeave+outPeriod+returnPeriod)
+		}()
+		c, err := follow(ctx, f, leaving)
+		if err != nil {
+			t.cancel()
+		}
+		<-sent
+		if err != nil {
+			return nil, err
+		}
+		c.ended = time.Now()
+		cycles = append(cycles, c)
+	}
+	return cycles, nil
+}
+
+// follow takes the failure domain out and returns it while a load runs.
+func follow(ctx context.Context, f *fleet, leaving string) (cycle, error) {
+	c := cycle{began: time.Now()}
+	pause(ctx, beforeLeave)
+	c.out = time.Now()
+	if err := f.SetFailureDomain(ctx, leaving, launcher.StateOut); err != nil {
+		return c, err
+	}
+	pause(ctx, time.Until(c.out.Add(outPeriod)))
+	c.in = time.Now()
+	return c, f.SetFailureDomain(ctx, leaving, launcher.StateIn)
+}
+
+func (c cycle) samples(f *fleet, report recorder.Report, records []recorder.SourceRecord, load float64) []sample {
+	outPrefix := fmt.Sprintf("domainOut%.0f", 100*load)
+	backPrefix := fmt.Sprintf("domainBack%.0f", 100*load)
+	out := sentBetween(report.Verdicts, c.out, c.in)
+	settled := sentBetween(report.Verdicts, c.out.Add(settlePeriod), c.in)
+	back := sentBetween(report.Verdicts, c.in, c.ended)
+	backSettled := sentBetween(report.Verdicts, c.in.Add(settlePeriod), c.ended)
+	started := startsIn(f, f.Plan.FailureDomains[1], records)
+	overload := 0
+	for _, r := range records {
+		overload = max(overload, r.Record.MaxExcess)
+	}
+	return []sample{
+		{outPrefix + "Goodput", out.goodput(), "ratio"},
+		{outPrefix + "Refused", float64(out.count(recorder.OutcomeNotRun)), "requests"},
+		{outPrefix + "Cut", float64(sentBetween(report.Verdicts, c.began, c.in).interrupted()), "requests"},
+		{outPrefix + "LastWork", lastBetween(started.inside, c.out, c.in).Seconds(), "s"},
+		{outPrefix + "FirstTokenP95", milliseconds(out.firstToken(p95)), "ms"},
+		{outPrefix + "SettledFirstTokenP95", milliseconds(settled.firstToken(p95)), "ms"},
+		{outPrefix + "Busy", busy(f, records, c.out.Add(settlePeriod), c.in), "ratio"},
+		{outPrefix + "Hold", hold(records, c.out, c.in), "ratio"},
+		{backPrefix + "Goodput", back.goodput(), "ratio"},
+		{backPrefix + "Refused", float64(back.count(recorder.OutcomeNotRun)), "requests"},
+		{backPrefix + "Cut", float64(back.interrupted()), "requests"},
+		{backPrefix + "FirstTokenP95", milliseconds(back.firstToken(p95)), "ms"},
+		{backPrefix + "SettledFirstTokenP95", milliseconds(backSettled.firstToken(p95)), "ms"},
+		{backPrefix + "FullUse", c.fullUse(started).Seconds(), "s"},
+		{backPrefix + "Overload", float64(overload), "requests"},
+	}
+}
+
+// busy returns the part of the slots outside of the failure domain that is out which were in use, on average.
+func busy(f *fleet, records []recorder.SourceRecord, from, to time.Time) float64 {
+	_, agents := f.Domain(f.Plan.FailureDomains[1])
+	used := time.Duration(0)
+	for _, r := range records {
+		for _, call := range r.Record.Calls {
+			used += overlap(call.Start, call.End, from, to)
+		}
+	}
+	left := slots(f.Plan) - float64(len(agents)*warmLimit)
+	return used.Seconds() / (left * to.Sub(from).Seconds())
+}
+
+func overlap(start, end, from, to time.Time) time.Duration {
+	if start.Before(from) {
+		start = from
+	}
+	if end.After(to) {
+		end = to
+	}
+	return max(0, end.Sub(start))
+}
+
+// hold returns the time for which requests held their slots, relative to the time that rateAt assumes. Above 1, the
+// engines are slower than planned, as on a busy machine, and the load is higher than its name says.
+func hold(records []recorder.SourceRecord, from, to time.Time) float64 {
+	held, planned := 0.0, 0.0
+	for _, r := range records {
+		for _, call := range r.Record.Calls {
+			if call.Start.After(from) && call.Start.Before(to) && call.Tokens > 0 {
+				held += call.End.Sub(call.Start).Seconds()
+				planned += (float64(call.Tokens) + meanStepWait) * stepBase.Seconds()
+			}
+		}
+	}
+	if planned == 0 {
+		return 0
+	}
+	return held / planned
+}
+
+// starts holds the times at which requests started inside and outside of a failure domain.
+type starts struct {
+	inside, outside []time.Time
+}
+
+func startsIn(f *fleet, name string, records []recorder.SourceRecord) starts {
+	_, agents := f.Domain(name)
+	inDomain := map[string]bool{}
+	for _, a := range agents {
+		inDomain[a.Standin.Name] = true
+	}
+	var s starts
+	for _, r := range records {
+		for _, call := range r.Record.Calls {
+			if inDomain[r.Source.Name] {
+				s.inside = append(s.inside, call.Start)
+			} else {
+				s.outside = append(s.outside, call.Start)
+			}
+		}
+	}
+	return s
+}
+
+// lastBetween returns the time from the first bound to the last start before the second, or 0 without any.
+func lastBetween(times []time.Time, from, to time.Time) time.Duration {
+	var last time.Duration
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			last = max(last, t.Sub(from))
+		}
+	}
+	return last
+}
+
+func countBetween(times []time.Time, from, to time.Time) float64 {
+	count := 0.0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// fullUse returns the time from the return to the end of the first window in which the failure domain takes nearly its
+// even share of new work, or the whole period if there is none.
+func (c cycle) fullUse(s starts) time.Duration {
+	even := 1.0 / domainCount
+	for from := c.in; from.Add(fullUseWindow).Before(c.ended); from = from.Add(fullUseStep) {
+		to := from.Add(fullUseWindow)
+		inside := countBetween(s.inside, from, to)
+		if inside > 0 && inside >= fullUsePart*even*(inside+countBetween(s.outside, from, to)) {
+			return to.Sub(c.in)
+		}
+	}
+	return c.ended.Sub(c.in)
+}
--- a/internal/prover/bencher/skew.go
+++ b/internal/prover/bencher/skew.go
@@ -1,4 +1,5 @@
-// Package bencher drives decision code with generated workloads and reports measures.
+// Package bencher measures the product: deployments of its processes under load, and its decision code with generated
+// workloads.
 package bencher
 
 import (
