Echo the serial of row writes; plan at once after a sudden change

Cause: with three coordinators in one process no rank ever joined: the machines ignore answers without the serial of the write (trace: RowConflict with serial 0 for write 1, repeated for ever). Ruled out: lost events, since the trace shows each answer arrive. Change: answers carry the serial; table calls run beside the loop; popularity is estimated every 500 ms, and a detected jump starts a plan. Before and after: the group test got no map within 20 s before; it commits two maps in about 2 s after, twice under the race detector.

--- a/internal/version/coordinator/coordinator.go
+++ b/internal/version/coordinator/coordinator.go
@@ -86,11 +86,15 @@
 	// Send sends to the agent of a rank; it may drop the message.
 	Send   func(rank identifier.Rank, m messenger.GroupEvent)
 	Policy placer.Policy
-	// PlanEvery is the time between plans; 2 s by default.
+	// PlanEvery is the time between plans without a sudden change of popularity; 5 s by default.
 	PlanEvery time.Duration
 }
 
-const defaultPlanEvery = 2 * time.Second
+const (
+	defaultPlanEvery = 5 * time.Second
+	// observeEvery is the time between estimates of popularity.
+	observeEvery = 500 * time.Millisecond
+)
 
 // Reply sends to the agent from which a message came.
 type Reply func(m messenger.GroupEvent)
@@ -257,9 +261,9 @@
 func (c *Coordinator) act(ctx context.Context, action switcher.Action, leader bool) {
 	switch a := action.(type) {
 	case switcher.ReadRow:
-		go c.back(c.read(ctx), leader)
+		go func() { c.back(c.read(ctx), leader) }()
 	case switcher.WriteRow:
-		go c.back(c.write(ctx, a), leader)
+		go func() { c.back(c.write(ctx, a), leader) }()
 	case switcher.SendRank:
 		c.sendRank(a)
 	case switcher.SendLeader:
@@ -331,9 +335,9 @@
 	var conflict *ConflictError
 	switch {
 	case err == nil:
-		return switcher.RowWritten{Row: switcher.Row{Version: version, Record: w.Record}}
+		return switcher.RowWritten{Serial: w.Serial, Row: switcher.Row{Version: version, Record: w.Record}}
 	case errors.As(err, &conflict):
-		return c.decoded(conflict.Row, func(r switcher.Row) switcher.Event { return switcher.RowConflict{Row: r} })
+		return c.decoded(conflict.Row, func(r switcher.Row) switcher.Event { return switcher.RowConflict{Serial: w.Serial, Row: r} })
 	default:
 		return switcher.RowUnsure{}
 	}
--- a/internal/version/coordinator/leadership.go
+++ b/internal/version/coordinator/leadership.go
@@ -19,7 +19,10 @@
 	// reports holds the newest report of each rank, counted the one before it that was used for an estimate.
 	reports map[identifier.Rank]progressReport
 	counted map[identifier.Rank]progressReport
-	planned time.Time
+	// observed and planned are the times of the last estimate and plan, jumps the sudden changes that were planned for.
+	observed time.Time
+	planned  time.Time
+	jumps    int
 }
 
 // progressReport is the progress of a rank with its tokens by expert since its engine booted.
@@ -46,7 +49,7 @@
 		estimator: placer.NewEstimator(placer.DefaultEstimator(c.cfg.Describe().Experts, c.cfg.Ranks)),
 		reports:   map[identifier.Rank]progressReport{},
 		counted:   map[identifier.Rank]progressReport{},
-		planned:   now,
+		observed:  now,
 	}
 	c.stepLeader(ctx, now, switcher.Tick{})
 }
@@ -62,20 +65,22 @@
 	c.stepLeader(ctx, now, p.Progress)
 }
 
-// plan proposes a better map from time to time.
+// plan proposes a better map from time to time, and at once after a sudden change of popularity.
 func (c *Coordinator) plan(ctx context.Context, now time.Time) {
 	l := c.leader
-	if now.Sub(l.planned) < c.cfg.PlanEvery {
+	if now.Sub(l.observed) < observeEvery {
 		return
 	}
-	l.planned = now
+	l.observed = now
 	current := l.machine.Row().Record.Committed.Map
 	if len(current.Experts) > 0 {
 		l.estimator.Observe(now, current, l.measured(now))
 	}
-	if l.machine.Busy() {
+	due := now.Sub(l.planned) >= c.cfg.PlanEvery || l.estimator.Jumps() > l.jumps
+	if !due || l.machine.Busy() || len(l.reports) < c.cfg.Ranks {
 		return
 	}
+	l.planned, l.jumps = now, l.estimator.Jumps()
 	group := c.cfg.Describe()
 	for r, speed := range l.estimator.Speeds() {
 		if r < len(group.Ranks) {
