Match credits with the requests of one customer only

Cause: each added request and each grant sorted all waiting requests, and the bound of a customer's waiting requests counted them all, so the time of a decision grew with the customers. Ruled out: a shorter tick or batching of grants, because each would delay the first token. Change: the queuer holds the waiting requests of each customer in the order of arrival. A credit is bound to a customer, so it is offered to that customer's requests only. A property test compares order and counts with a plain list.

--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -3,6 +3,8 @@
 package queuer
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,27 +63,25 @@
 // Queuer matches waiting requests and credits.
 type Queuer struct {
 	waiting map[identifier.Request]*Waiter
-	credits map[identifier.Upstream][]*credit
-	next    uint64
+	// customers holds the same requests by customer, each in the order of arrival. Credits are bound to a customer, so
+	// that a credit needs to look at the requests of one customer only.
+	customers map[identifier.Customer][]*Waiter
+	credits   map[identifier.Upstream][]*credit
+	next      uint64
 }
 
 // New returns an empty queuer.
 func New() *Queuer {
 	return &Queuer{
-		waiting: map[identifier.Request]*Waiter{},
-		credits: map[identifier.Upstream][]*credit{},
+		waiting:   map[identifier.Request]*Waiter{},
+		customers: map[identifier.Customer][]*Waiter{},
+		credits:   map[identifier.Upstream][]*credit{},
 	}
 }
 
 // Waiting returns how many requests of a customer wait.
 func (q *Queuer) Waiting(customer identifier.Customer) int {
-	count := 0
-	for _, w := range q.waiting {
-		if w.Customer == customer {
-			count++
-		}
-	}
-	return count
+	return len(q.customers[customer])
 }
 
 // Add puts a request in the queue, or replaces its candidates if it waits already, and matches it if a held
@@ -91,16 +91,35 @@
 	w.order, w.since = q.next, now
 	if old, ok := q.waiting[w.Request]; ok {
 		w.order, w.since = old.order, old.since
+		q.Remove(w.Request)
 	}
 	q.waiting[w.Request] = &w
+	at, _ := q.position(&w)
+	q.customers[w.Customer] = slices.Insert(q.customers[w.Customer], at, &w)
 	return q.match(now)
 }
 
 // Remove takes a request out of the queue. It reports whether the request was waiting.
 func (q *Queuer) Remove(id identifier.Request) bool {
-	_, ok := q.waiting[id]
+	w, ok := q.waiting[id]
+	if !ok {
+		return false
+	}
 	delete(q.waiting, id)
-	return ok
+	if at, found := q.position(w); found {
+		q.customers[w.Customer] = slices.Delete(q.customers[w.Customer], at, at+1)
+	}
+	if len(q.customers[w.Customer]) == 0 {
+		delete(q.customers, w.Customer)
+	}
+	return true
+}
+
+// position returns where a request is, or belongs, among those of its customer.
+func (q *Queuer) position(w *Waiter) (int, bool) {
+	return slices.BinarySearchFunc(q.customers[w.Customer], w.order, func(other *Waiter, order uint64) int {
+		return cmp.Compare(other.order, order)
+	})
 }
 
 // Grant adds credits of an upstream and returns the requests that they admit.
@@ -140,8 +159,8 @@
 }
 
 func (q *Queuer) wanted(upstream identifier.Upstream, customer identifier.Customer) bool {
-	for _, w := range q.waiting {
-		if w.Customer == customer && w.accepts(upstream, len(w.Candidates)) {
+	for _, w := range q.customers[customer] {
+		if w.accepts(upstream, len(w.Candidates)) {
 			return true
 		}
 	}
@@ -167,24 +186,45 @@
 // match serves requests in the order of arrival, each from its most preferred upstream with a credit.
 func (q *Queuer) match(now time.Time) []Match {
 	q.expire(now)
-	if len(q.credits) == 0 {
-		return nil
+	type served struct {
+		match Match
+		order uint64
 	}
-	ordered := make([]*Waiter, 0, len(q.waiting))
-	for _, w := range q.waiting {
-		ordered = append(ordered, w)
+	var all []served
+	for customer, left := range q.held() {
+		for _, w := range slices.Clone(q.customers[customer]) {
+			if left == 0 {
+				break
+			}
+			if m, ok := q.take(now, w); ok {
+				q.Remove(w.Request)
+				all = append(all, served{match: m, order: w.order})
+				left--
+			}
+		}
 	}
-	sort.Slice(ordered, func(i, j int) bool { return ordered[i].order < ordered[j].order })
+	slices.SortFunc(all, func(a, b served) int { return cmp.Compare(a.order, b.order) })
 	var out []Match
-	for _, w := range ordered {
-		if m, ok := q.take(now, w); ok {
-			delete(q.waiting, w.Request)
-			out = append(out, m)
-		}
+	for _, s := range all {
+		out = append(out, s.match)
 	}
 	return out
 }
 
+// held returns the credits of each customer.
+func (q *Queuer) held() map[identifier.Customer]identifier.Credits {
+	if len(q.credits) == 0 {
+		return nil
+	}
+	held := map[identifier.Customer]identifier.Credits{}
+	for _, credits := range q.credits {
+		for _, c := range credits {
+			held[c.grant.Customer] += c.left
+		}
+	}
+	return held
+}
+
 func (q *Queuer) take(now time.Time, w *Waiter) (Match, bool) {
 	for _, upstream := range w.Candidates[:w.width(now)] {
 		for _, c := range q.credits[upstream] {
--- a/internal/request/queuer/queuer_test.go
+++ b/internal/request/queuer/queuer_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -105,3 +106,45 @@
 	require.Len(t, q.DemandOn(start, "u1"), 1)
 	require.Len(t, q.Tick(start.Add(10*time.Millisecond)), 1)
 }
+
+// Guards against an index of customers that loses, repeats or reorders waiting requests.
+func TestCustomersAreServedInOrder(t *testing.T) {
+	t.Parallel()
+	customers := []identifier.Customer{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		q := queuer.New()
+		waiting := map[identifier.Customer][]identifier.Request{}
+		settle := func(customer identifier.Customer, matches []queuer.Match) {
+			for _, m := range matches {
+				require.Equal(t, waiting[customer][0], m.Request)
+				waiting[customer] = waiting[customer][1:]
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			customer := rapid.SampledFrom(customers).Draw(t, "customer")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				w := queuer.Waiter{Request: identifier.NewRequest(), Customer: customer, Candidates: []identifier.Upstream{"u1"}}
+				waiting[customer] = append(waiting[customer], w.Request)
+				settle(customer, q.Add(start, w))
+			case 1:
+				credits := rapid.IntRange(1, 3).Draw(t, "credits")
+				settle(customer, q.Grant(start, "u1", grant(customer, identifier.Credits(credits))))
+			case 2:
+				if n := len(waiting[customer]); n > 0 {
+					at := rapid.IntRange(0, n-1).Draw(t, "removed")
+					require.True(t, q.Remove(waiting[customer][at]))
+					waiting[customer] = append(waiting[customer][:at:at], waiting[customer][at+1:]...)
+				}
+			default:
+				if n := len(waiting[customer]); n > 0 {
+					again := waiting[customer][rapid.IntRange(0, n-1).Draw(t, "again")]
+					settle(customer, q.Add(start, queuer.Waiter{Request: again, Customer: customer, Candidates: []identifier.Upstream{"u1"}}))
+				}
+			}
+			for _, c := range customers {
+				require.Equal(t, len(waiting[c]), q.Waiting(c))
+			}
+		}
+	})
+}
