Print figures of the bench as they are known; measure growth alone

Cause: a run of configEverywhere that was stopped after 100 s lost the figures that it had, and the growth of the decision code could not be repeated without a deployment. Ruled out: shorter runs, because the pauses between changes keep the news of one from carrying the next. Change: measures print each group of figures at once; decisionGrowth is a measure of its own. Conclusion: single measures can be repeated when the machine was disturbed.

--- a/internal/prover/bencher/bencher.go
+++ b/internal/prover/bencher/bencher.go
@@ -128,7 +128,8 @@
 // measure is a part of the bench that runs alone. One may have several names, since its figures come from the same runs.
 type measure struct {
 	names []string
-	run   func(ctx context.Context, b *bench) ([]Figure, error)
+	// run prints figures as soon as they are known, so that an interrupted bench keeps them.
+	run func(ctx context.Context, b *bench) error
 }
 
 func measures() []measure {
@@ -136,6 +137,7 @@
 		{[]string{"domainOut", "domainBack"}, domain},
 		{[]string{"morning", "evening"}, peaks},
 		{[]string{"entryOverhead"}, overhead},
+		{[]string{"decisionGrowth"}, growth},
 		{[]string{"configEverywhere"}, configuration},
 		{[]string{"controlCpu", "controlMemory", "controlBytes"}, control},
 		{[]string{"stepSkewP99", "rebalanceBytes"}, skew},
@@ -151,7 +153,13 @@
 	fmt.Fprintf(b.cfg.Progress, "bench: "+format+"\n", args...)
 }
 
-// Run runs the bench and prints a line for each figure as soon as its measure has ended.
+func (b *bench) print(figures []Figure) {
+	for _, f := range figures {
+		fmt.Fprintln(b.cfg.Output, f)
+	}
+}
+
+// Run runs the bench and prints a line for each figure.
 func Run(ctx context.Context, cfg Config) error {
 	selected := measures()
 	if cfg.Only != "" {
@@ -163,13 +171,9 @@
 	b := &bench{cfg: cfg}
 	for _, m := range selected {
 		b.note("%s", strings.Join(m.names, " and "))
-		figures, err := m.run(ctx, b)
-		if err != nil {
+		if err := m.run(ctx, b); err != nil {
 			return errors.Wrapf(err, "measure %s", m.names[0])
 		}
-		for _, f := range figures {
-			fmt.Fprintln(cfg.Output, f)
-		}
 	}
 	return nil
 }
--- a/internal/prover/bencher/configuration.go
+++ b/internal/prover/bencher/configuration.go
@@ -47,17 +47,16 @@
 }
 
 // configuration measures the time from the acceptance of a change until it is in force at the last process.
-func configuration(ctx context.Context, b *bench) ([]Figure, error) {
-	var figures []Figure
+func configuration(ctx context.Context, b *bench) error {
 	for _, n := range fleetSizes {
 		b.note("%d processes", n)
 		runs, err := b.runChanges(ctx, n)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		figures = append(figures, plain(medians(runs))...)
+		b.print(plain(medians(runs)))
 	}
-	return figures, nil
+	return nil
 }
 
 func (b *bench) runChanges(ctx context.Context, processes int) ([][]sample, error) {
--- a/internal/prover/bencher/control.go
+++ b/internal/prover/bencher/control.go
@@ -31,17 +31,16 @@
 }
 
 // control measures what a node uses in fleets of several sizes, idle and under light load.
-func control(ctx context.Context, b *bench) ([]Figure, error) {
-	var figures []Figure
+func control(ctx context.Context, b *bench) error {
 	for _, n := range fleetSizes {
 		b.note("%d nodes", n)
 		runs, err := b.runControl(ctx, n)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		figures = append(figures, plain(medians(runs))...)
+		b.print(plain(medians(runs)))
 	}
-	return figures, nil
+	return nil
 }
 
 func (b *bench) runControl(ctx context.Context, nodes int) ([][]sample, error) {
--- a/internal/prover/bencher/domain.go
+++ b/internal/prover/bencher/domain.go
@@ -37,23 +37,22 @@
 }
 
 // domain takes a failure domain out of a loaded deployment and returns it.
-func domain(ctx context.Context, b *bench) ([]Figure, error) {
-	var figures []Figure
+func domain(ctx context.Context, b *bench) error {
 	for _, load := range domainLoads {
 		results := map[string][]sample{}
 		for _, routing := range []string{routingBalanced, routingRoundRobin, routingLeastLoaded} {
 			b.note("load %.0f%%, routing %s", 100*load, routing)
 			runs, err := b.runDomain(ctx, routing, load)
 			if err != nil {
-				return nil, err
+				return err
 			}
 			results[routing] = medians(runs)
 		}
-		figures = append(figures, compared(results[routingBalanced], map[string][]sample{
+		b.print(compared(results[routingBalanced], map[string][]sample{
 			routingRoundRobin: results[routingRoundRobin], routingLeastLoaded: results[routingLeastLoaded],
-		})...)
+		}))
 	}
-	return figures, nil
+	return nil
 }
 
 // runDomain measures all runs on one deployment, which is warm from the first one on.
--- a/internal/prover/bencher/growth.go
+++ b/internal/prover/bencher/growth.go
@@ -1,6 +1,7 @@
 package bencher
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"testing"
@@ -54,11 +55,10 @@
 }
 
 // growth measures time and memory of single decisions. The baseline is the smallest size.
-func growth(b *bench) ([]Figure, error) {
+func growth(_ context.Context, b *bench) error {
 	if err := prepareBenchmarks(); err != nil {
-		return nil, err
+		return err
 	}
-	var figures []Figure
 	for _, d := range decisions {
 		var first []sample
 		for _, s := range sizes {
@@ -66,7 +66,7 @@
 			for range b.cfg.Runs {
 				decide, err := d.make(s)
 				if err != nil {
-					return nil, errors.Wrap(err, d.name)
+					return errors.Wrap(err, d.name)
 				}
 				result := testing.Benchmark(func(t *testing.B) {
 					t.ReportAllocs()
@@ -83,13 +83,14 @@
 			if first == nil {
 				first = measured
 			}
-			for _, f := range compared(measured, map[string][]sample{sizes[0].String(): first}) {
-				f.Name = fmt.Sprintf("%s@%s", f.Name, s)
-				figures = append(figures, f)
+			figures := compared(measured, map[string][]sample{sizes[0].String(): first})
+			for i := range figures {
+				figures[i].Name = fmt.Sprintf("%s@%s", figures[i].Name, s)
 			}
+			b.print(figures)
 		}
 	}
-	return figures, nil
+	return nil
 }
 
 // prepareBenchmarks shortens testing.Benchmark, which takes its time from a flag.
--- a/internal/prover/bencher/overhead.go
+++ b/internal/prover/bencher/overhead.go
@@ -30,8 +30,7 @@
 )
 
 // overhead measures what entry and agent add to a call of an engine, and how many requests a core of an entry bears.
-// The decision code is measured alone, for sizes up to the target.
-func overhead(ctx context.Context, b *bench) ([]Figure, error) {
+func overhead(ctx context.Context, b *bench) error {
 	plan := smallPlan()
 	plan.Entries = 1
 	plan.Groups[0].Ranks = 1
@@ -39,30 +38,29 @@
 	plan.EngineArgs = []string{"--step-base", fastStep, "--step-per-request", "0s", "--cold-prefill", "-1"}
 	f, err := b.deploy(ctx, plan)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	var through, capacity [][]sample
 	var direct [][]sample
 	for range b.cfg.Runs {
 		d, t, err := latencies(ctx, f)
 		if err != nil {
-			return nil, errors.CombineErrors(err, f.close(ctx))
+			return errors.CombineErrors(err, f.close(ctx))
 		}
 		direct = append(direct, d)
 		through = append(through, t)
 		c, err := entryCapacity(ctx, f)
 		if err != nil {
-			return nil, errors.CombineErrors(err, f.close(ctx))
+			return errors.CombineErrors(err, f.close(ctx))
 		}
 		capacity = append(capacity, c)
 	}
 	if err := f.close(ctx); err != nil {
-		return nil, err
+		return err
 	}
-	figures := compared(medians(through), map[string][]sample{"direct": medians(direct)})
-	figures = append(figures, plain(medians(capacity))...)
-	grown, err := growth(b)
-	return append(figures, grown...), err
+	b.print(compared(medians(through), map[string][]sample{"direct": medians(direct)}))
+	b.print(plain(medians(capacity)))
+	return nil
 }
 
 // latencies sends calls of one token alternately to the engine and to the entry.
--- a/internal/prover/bencher/peaks.go
+++ b/internal/prover/bencher/peaks.go
@@ -26,26 +26,25 @@
 
 // peaks sends the morning load, shifts to the evening load at once, and compares with round robin; then it measures
 // fairness and isolation.
-func peaks(ctx context.Context, b *bench) ([]Figure, error) {
+func peaks(ctx context.Context, b *bench) error {
 	results := map[string][]sample{}
 	for _, routing := range []string{routingBalanced, routingRoundRobin} {
 		b.note("morning and evening, routing %s", routing)
 		runs, err := b.runPeaks(ctx, routing)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		results[routing] = medians(runs)
 	}
-	figures := compared(results[routingBalanced], map[string][]sample{routingRoundRobin: results[routingRoundRobin]})
+	b.print(compared(results[routingBalanced], map[string][]sample{routingRoundRobin: results[routingRoundRobin]}))
 	shares, err := fairness(ctx, b)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	b.print(shares)
 	isolated, err := isolation(ctx, b)
-	if err != nil {
-		return nil, err
-	}
-	return append(append(figures, shares...), isolated...), nil
+	b.print(isolated)
+	return err
 }
 
 // span is a part of a run with a name for its figures.
--- a/internal/prover/bencher/placement.go
+++ b/internal/prover/bencher/placement.go
@@ -7,8 +7,7 @@
 )
 
 // skew compares the adaptive placement with a static one (skew) and with a new placement in each interval (bytes).
-func skew(_ context.Context, b *bench) ([]Figure, error) {
-	var figures []Figure
+func skew(_ context.Context, b *bench) error {
 	groups := []struct {
 		name string
 		make func(uint64) Skew
@@ -21,7 +20,7 @@
 			} {
 				result, err := g.make(b.cfg.Seed + uint64(run)).Run(policy)
 				if err != nil {
-					return nil, err
+					return err
 				}
 				results[name] = append(results[name], []sample{
 					{"stepSkewP99Ranks" + g.name, result.Steady, "ratio"},
@@ -30,10 +29,10 @@
 			}
 		}
 		adaptive := medians(results[""])
-		figures = append(figures, compared(adaptive[:1], map[string][]sample{
+		b.print(compared(adaptive[:1], map[string][]sample{
 			"static": medians(results["static"]), "resolve": medians(results["resolve"]),
-		})...)
-		figures = append(figures, compared(adaptive[1:], map[string][]sample{"resolve": medians(results["resolve"])})...)
+		}))
+		b.print(compared(adaptive[1:], map[string][]sample{"resolve": medians(results["resolve"])}))
 	}
-	return figures, nil
+	return nil
 }
