Report no experts for engines without a group

Cause: engines that step alone reported 64 experts, so that the agents of a group without lock-step would try to place a map. Ruled out: a setting at the agent; the engine knows whether it runs a map. Before and after: stand-in and adapter tests pass. Conclusion: only lock-step groups take part in maps.

--- a/internal/standin/engineserver/report.go
+++ b/internal/standin/engineserver/report.go
@@ -93,6 +93,10 @@
 	for _, n := range e.expertTokens {
 		experts = append(experts, int64(n))
 	}
+	if e.maps.alone {
+		// Without a group there is no expert map to change.
+		experts = nil
+	}
 	tokens := 0
 	for _, g := range e.running {
 		tokens += g.kv().tokens
