Start the engines of a planned group in lock-step

Cause: the launcher started every engine alone, so no deployment with real processes could show whether agents keep all ranks on one map. The resource of an upstream always said that its engine ignores the fencing number.

Ruled out: a group seed of its own in the plan. The seed of the plan serves, because only equality over the ranks matters. Also ruled out: the test binary as engine, as in the other tests of the launcher. It would not notice a wrong flag.

Change: GroupPlan has LockStep and ChecksFence. With LockStep the engines get size, rank, number of experts and seed of the group, and an address at the host of rank 0, whose stand-in coordinates.

Conclusion: deployments can run lock-step groups as soon as the agents order maps.

--- a/internal/prover/launcher/deployment.go
+++ b/internal/prover/launcher/deployment.go
@@ -145,10 +145,8 @@
 		}
 	}
 	for _, g := range d.Plan.Groups {
-		for rank := range g.Ranks {
-			if err := d.layRank(g, rank); err != nil {
-				return err
-			}
+		if err := d.layGroup(g); err != nil {
+			return err
 		}
 	}
 	for _, s := range d.Plan.Services {
@@ -183,13 +181,41 @@
 	return nil
 }
 
-func (d *Deployment) layRank(g GroupPlan, rank int) error {
-	a := &Agent{
-		Upstream: Upstream{Name: fmt.Sprintf("%s-%02d", g.Name, rank), ModelGroup: g.Name, Rank: &rank},
-		kind:     "engine",
+func (d *Deployment) layGroup(g GroupPlan) error {
+	coordinator := ""
+	for rank := range g.Ranks {
+		a := rankAgent(g, rank)
+		if err := d.layAgent(a, g.Limits); err != nil {
+			return err
+		}
+		if g.LockStep && rank == 0 {
+			if err := d.assign(a.host, &coordinator); err != nil {
+				return err
+			}
+		}
+		if g.LockStep {
+			a.args = append(a.args, lockStepArgs(g, rank, coordinator, d.Plan.Seed)...)
+		}
+		a.args = append(a.args, d.Plan.EngineArgs...)
 	}
-	a.args = append(limitArgs(g.Limits), d.Plan.EngineArgs...)
-	return d.layAgent(a, g.Limits)
+	return nil
+}
+
+func rankAgent(g GroupPlan, rank int) *Agent {
+	a := &Agent{
+		Upstream: Upstream{
+			Name:        fmt.Sprintf("%s-%02d", g.Name, rank),
+			ModelGroup:  g.Name,
+			Rank:        &rank,
+			ChecksFence: g.ChecksFence(rank),
+		},
+		kind: "engine",
+		args: limitArgs(g.Limits),
+	}
+	if a.Upstream.ChecksFence {
+		a.args = append(a.args, "--check-fence")
+	}
+	return a
 }
 
 func (d *Deployment) layRunner(s ServicePlan, runner int) error {
--- a/internal/prover/launcher/launcher_test.go
+++ b/internal/prover/launcher/launcher_test.go
@@ -30,7 +30,11 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleVariable) {
 	case "":
-		os.Exit(m.Run())
+		code := m.Run()
+		if builtFolder != "" {
+			_ = os.RemoveAll(builtFolder)
+		}
+		os.Exit(code)
 	case "server":
 		serve(os.Args[1])
 	case "failing":
--- a/internal/prover/launcher/plan.go
+++ b/internal/prover/launcher/plan.go
@@ -34,6 +34,10 @@
 	// ExpertBytes is the size of one expert's weights.
 	ExpertBytes int64
 	Limits      Limits
+	// LockStep lets the engines of the group run their steps together. They run none before they get an expert map.
+	LockStep bool
+	// ChecksFence selects the ranks whose engines check the fencing number of orders. No engine does if it is nil.
+	ChecksFence func(rank int) bool
 }
 
 // ServicePlan describes a plain service of a deployment.
@@ -71,7 +75,7 @@
 	LogLevel       string
 	// Interpose selects the links that get a fault proxy. No link has one if it is nil.
 	Interpose func(Link) bool
-	// Seed is passed to proxies.
+	// Seed is passed to proxies and, for the popularity of experts, to engines in lock-step.
 	Seed uint64
 	// PlatformArgs, EngineArgs and ServiceArgs are added to the command lines of the stand-ins.
 	PlatformArgs []string
@@ -97,8 +101,12 @@
 		p.Interpose = func(Link) bool { return false }
 	}
 	for i := range p.Groups {
-		if p.Groups[i].ExpertBytes == 0 {
-			p.Groups[i].ExpertBytes = defaultExpertBytes
+		g := &p.Groups[i]
+		if g.ExpertBytes == 0 {
+			g.ExpertBytes = defaultExpertBytes
+		}
+		if g.ChecksFence == nil {
+			g.ChecksFence = func(int) bool { return false }
 		}
 	}
 }
--- a/internal/prover/launcher/standins.go
+++ b/internal/prover/launcher/standins.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -27,6 +28,18 @@
 	}
 }
 
+// lockStepArgs places an engine in a group whose steps the stand-in of rank 0 coordinates.
+func lockStepArgs(g GroupPlan, rank int, coordinator string, seed uint64) []string {
+	return []string{
+		"--group-size", strconv.Itoa(g.Ranks),
+		"--rank", strconv.Itoa(rank),
+		"--coordinator", coordinator,
+		"--experts", strconv.Itoa(g.Experts),
+		// The stand-in takes a signed number.
+		"--group-seed", strconv.FormatUint(seed&math.MaxInt64, 10),
+	}
+}
+
 // vm is a line of the platform's VM list.
 type vm struct {
 	Name          string `json:"name"`
