Pass the digest of a prompt's prefix to engines

Cause: the agent passed the digest of the whole request as its prefix, so no two prompts shared one and no prefix cache was ever hit. Ruled out: a field in Dispatch, because the agent has the customer, the model and the prompt, and the entry's digest is made of nothing else. Change: translator.Prefix makes the digest for both; it is salted by customer as before. Conclusion: requests that the router sends to the holder of their prefix find it there.

--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -16,6 +16,7 @@
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/request/streamer"
+	"currantledge.example/currantledge/internal/request/translator"
 )
 
 const (
@@ -130,7 +131,7 @@
 	r.buffer.SetHead(messenger.Head{Request: d.Request, Customer: d.Customer, Status: http.StatusOK})
 	_, err := engine.Generate(ctx, driver.Generation{
 		Request: d.Request, Customer: Salted(d.Customer), Model: d.Target.Model, Prompt: d.Body, Generated: d.Generated,
-		MaxTokens: d.MaxTokens, Priority: d.Priority, Prefix: d.Digest,
+		MaxTokens: d.MaxTokens, Priority: d.Priority, Prefix: translator.Prefix(d.Customer, d.Target.Model, d.Body),
 	}, func(text []byte) error {
 		if first {
 			first = false
--- a/internal/request/translator/translator.go
+++ b/internal/request/translator/translator.go
@@ -125,16 +125,21 @@
 	if g.MaxTokens <= shortTokens {
 		priority = PriorityShort
 	}
-	prefix := g.Prompt[:min(len(g.Prompt), prefixBytes)]
 	return streamer.Call{
 		Request: id, Customer: customer,
 		Target: messenger.Target{Kind: messenger.TargetModel, Model: g.Model},
 		Body:   g.Prompt, Idempotent: true, Priority: priority, MaxTokens: g.MaxTokens,
-		Affinity: salted(customer, "prefix", string(g.Model), string(prefix)),
+		Affinity: Prefix(customer, g.Model, g.Prompt),
 		Digest:   salted(customer, "model", string(g.Model), fmt.Sprint(g.MaxTokens), string(g.Prompt)),
 	}
 }
 
+// Prefix returns the digest of a prompt's start, salted by customer. Entries order upstreams by it and agents pass it to
+// engines, so that requests which share a prefix meet at an engine that has it in its cache.
+func Prefix(customer identifier.Customer, model identifier.Model, prompt []byte) identifier.Digest {
+	return salted(customer, "prefix", string(model), string(prompt[:min(len(prompt), prefixBytes)]))
+}
+
 // hopHeaders are meant for one connection and are not passed on, nor is the caller's key.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
