Measure how long requests hold their slots before loading the bench's deployments

Cause: at a nominal load of 60% the two remaining failure domains were 98% busy, because each request held its slot 1.05 times as long as planned on a machine with a load average of 50 to 160. The first-token figures measured a saturated deployment. Ruled out: longer steps, because they would raise the first-token times themselves. Change: a warm-up of 4 s is measured and its hold time scales the rates, so that a load means the same part of the capacity. Fairness and isolation are measures of their own, so that they can be repeated alone.

--- a/internal/prover/bencher/bencher.go
+++ b/internal/prover/bencher/bencher.go
@@ -136,6 +136,8 @@
 	return []measure{
 		{[]string{"domainOut", "domainBack"}, domain},
 		{[]string{"morning", "evening"}, peaks},
+		{[]string{"fairness"}, fairness},
+		{[]string{"isolation"}, isolation},
 		{[]string{"entryOverhead"}, overhead},
 		{[]string{"decisionGrowth"}, growth},
 		{[]string{"configEverywhere"}, configuration},
--- a/internal/prover/bencher/domain.go
+++ b/internal/prover/bencher/domain.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	warmUp       = 5 * time.Second
 	beforeLeave  = 3 * time.Second
 	outPeriod    = 9 * time.Second
 	returnPeriod = 7 * time.Second
@@ -94,11 +93,14 @@
 }
 
 func (b *bench) runCycles(ctx context.Context, f *fleet, load float64) ([]cycle, error) {
-	m := shortAnswers
-	m.rate = evenly(rateAt(f.Plan, load, m.meanTokens()), len(f.Plan.Customers))
 	t := newTraffic(ctx, f)
 	defer t.finish()
-	t.run(m, b.cfg.Seed, warmUp)
+	if err := f.warm(ctx, t, b.cfg.Seed); err != nil {
+		return nil, err
+	}
+	b.note("requests hold their slots %.3f times as long as planned", f.slowness)
+	m := shortAnswers
+	m.rate = evenly(f.rateAt(load, m.meanTokens()), len(f.Plan.Customers))
 	var cycles []cycle
 	leaving := f.Plan.FailureDomains[1]
 	for run := range b.cfg.Runs {
@@ -155,7 +157,7 @@
 		{outPrefix + "FirstTokenP95", milliseconds(out.firstToken(p95)), "ms"},
 		{outPrefix + "SettledFirstTokenP95", milliseconds(settled.firstToken(p95)), "ms"},
 		{outPrefix + "Busy", busy(f, records, c.out.Add(settlePeriod), c.in), "ratio"},
-		{outPrefix + "Hold", hold(records, c.out, c.in), "ratio"},
+		{outPrefix + "Hold", hold(records, c.out, c.in) / f.slowness, "ratio"},
 		{backPrefix + "Goodput", back.goodput(), "ratio"},
 		{backPrefix + "Refused", float64(back.count(recorder.OutcomeNotRun)), "requests"},
 		{backPrefix + "Cut", float64(back.interrupted()), "requests"},
@@ -189,8 +191,8 @@
 	return max(0, end.Sub(start))
 }
 
-// hold returns the time for which requests held their slots, relative to the time that rateAt assumes. Above 1, the
-// engines are slower than planned, as on a busy machine, and the load is higher than its name says.
+// hold returns the time for which requests held their slots, relative to a step for each token and the wait for the
+// first step. Above 1, the engines are slower than planned, as on a busy machine.
 func hold(records []recorder.SourceRecord, from, to time.Time) float64 {
 	held, planned := 0.0, 0.0
 	for _, r := range records {
--- a/internal/prover/bencher/fleet.go
+++ b/internal/prover/bencher/fleet.go
@@ -65,6 +65,8 @@
 	log      *recorder.Log
 	caller   *recorder.Caller
 	turn     atomic.Uint64
+	// slowness is the time for which requests hold their slots relative to the plan, as measured in the warm-up.
+	slowness float64
 }
 
 // deploy starts a deployment. The caller of deploy calls close.
@@ -81,7 +83,7 @@
 		return nil, errors.Wrap(err, "start the deployment")
 	}
 	log := &recorder.Log{}
-	return &fleet{Deployment: d, launcher: l, log: log, caller: recorder.NewCaller(log)}, nil
+	return &fleet{Deployment: d, launcher: l, log: log, caller: recorder.NewCaller(log), slowness: 1}, nil
 }
 
 // close stops the deployment. Processes that do not stop in time are ended.
@@ -114,11 +116,33 @@
 
 // rateAt returns the requests per second that keep a part of the slots busy. A request holds its slot for a step per
 // token and half a step, on average, until the next step starts.
-func rateAt(p launcher.Plan, load, meanTokens float64) float64 {
-	hold := (meanTokens + meanStepWait) * stepBase.Seconds()
-	return load * slots(p) / hold
+func (f *fleet) rateAt(load, meanTokens float64) float64 {
+	hold := (meanTokens + meanStepWait) * stepBase.Seconds() * f.slowness
+	return load * slots(f.Plan) / hold
 }
 
+// warm makes the engines warm and measures how long requests really hold their slots, so that a load means the same part
+// of the capacity on a busy machine.
+func (f *fleet) warm(ctx context.Context, t *traffic, seed uint64) error {
+	m := shortAnswers
+	m.rate = evenly(f.rateAt(warmUpLoad, m.meanTokens()), len(f.Plan.Customers))
+	t.run(m, seed, warmUp)
+	began := time.Now()
+	t.run(m, seed, warmUp)
+	t.calls.Wait()
+	records, err := recorder.Collect(ctx, recorder.SourcesOf(f.Deployment))
+	if err != nil {
+		return err
+	}
+	f.slowness = max(1, hold(records, began, time.Now()))
+	return nil
+}
+
+const (
+	warmUp     = 4 * time.Second
+	warmUpLoad = 0.60
+)
+
 // prompt starts with one of a customer's system prompts, so that prefix caches have something to hold.
 func prompt(customer string, prefix, number, tokens int) string {
 	system := strings.Repeat(fmt.Sprintf("%s follows rule set %d. ", customer, prefix), promptRepeats)
--- a/internal/prover/bencher/peaks.go
+++ b/internal/prover/bencher/peaks.go
@@ -24,8 +24,7 @@
 	eveningMix = mix{minTokens: 40, maxTokens: 120, prefixes: peakPrefixes}
 )
 
-// peaks sends the morning load, shifts to the evening load at once, and compares with round robin; then it measures
-// fairness and isolation.
+// peaks sends the morning load, shifts to the evening load at once, and compares with round robin.
 func peaks(ctx context.Context, b *bench) error {
 	results := map[string][]sample{}
 	for _, routing := range []string{routingBalanced, routingRoundRobin} {
@@ -37,14 +36,7 @@
 		results[routing] = medians(runs)
 	}
 	b.print(compared(results[routingBalanced], map[string][]sample{routingRoundRobin: results[routingRoundRobin]}))
-	shares, err := fairness(ctx, b)
-	if err != nil {
-		return err
-	}
-	b.print(shares)
-	isolated, err := isolation(ctx, b)
-	b.print(isolated)
-	return err
+	return nil
 }
 
 // span is a part of a run with a name for its figures.
@@ -62,11 +54,13 @@
 		return nil, err
 	}
 	t := newTraffic(ctx, f)
+	if err := f.warm(ctx, t, b.cfg.Seed); err != nil {
+		return nil, errors.CombineErrors(err, f.close(ctx))
+	}
 	send := func(m mix, seed uint64, period time.Duration) {
-		m.rate = evenly(rateAt(plan, peakLoad, m.meanTokens()), len(f.Plan.Customers))
+		m.rate = evenly(f.rateAt(peakLoad, m.meanTokens()), len(f.Plan.Customers))
 		t.run(m, seed, period)
 	}
-	send(morningMix, b.cfg.Seed, warmUp)
 	var spans [][]span
 	for run := range b.cfg.Runs {
 		seed := b.cfg.Seed + uint64(run) + 1
@@ -144,7 +138,7 @@
 )
 
 // fairness lets customers of different shares ask for the same large amount.
-func fairness(ctx context.Context, b *bench) ([]Figure, error) {
+func fairness(ctx context.Context, b *bench) error {
 	b.note("fairness under contention")
 	plan := smallPlan()
 	plan.Customers = plan.Customers[:len(contentionShares)]
@@ -153,14 +147,14 @@
 	}
 	f, err := b.deploy(ctx, plan)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	m := contentionMix
-	m.rate = evenly(contentionLoad*float64(len(contentionShares))*rateAt(plan, 1, m.meanTokens()), len(contentionShares))
 	t := newTraffic(ctx, f)
-	warm := shortAnswers
-	warm.rate = evenly(rateAt(plan, peakLoad, warm.meanTokens()), len(contentionShares))
-	t.run(warm, b.cfg.Seed, warmUp)
+	if err := f.warm(ctx, t, b.cfg.Seed); err != nil {
+		return errors.CombineErrors(err, f.close(ctx))
+	}
+	m := contentionMix
+	m.rate = evenly(contentionLoad*float64(len(contentionShares))*f.rateAt(1, m.meanTokens()), len(contentionShares))
 	var spans []span
 	for run := range b.cfg.Runs {
 		began := time.Now()
@@ -169,7 +163,7 @@
 	}
 	t.finish()
 	if err := f.close(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	exchanges := f.log.Exchanges()
 	var runs [][]sample
@@ -183,7 +177,8 @@
 			{"fairnessLeastServed", leastOverMean(services), "ratio"},
 		})
 	}
-	return plain(medians(runs)), nil
+	b.print(plain(medians(runs)))
+	return nil
 }
 
 // tokensBetween counts the tokens that a customer received in a time.
@@ -237,23 +232,23 @@
 
 // isolation lets one customer ask for 20 times its share and compares the others with their service without it. The
 // others send the same requests at the same times in both parts.
-func isolation(ctx context.Context, b *bench) ([]Figure, error) {
+func isolation(ctx context.Context, b *bench) error {
 	b.note("isolation from one customer at %d times its share", heavyFactor)
 	plan := smallPlan()
 	f, err := b.deploy(ctx, plan)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	t := newTraffic(ctx, f)
+	if err := f.warm(ctx, t, b.cfg.Seed); err != nil {
+		return errors.CombineErrors(err, f.close(ctx))
 	}
 	solo := shortAnswers
-	solo.rate = evenly(othersLoad*rateAt(plan, 1, solo.meanTokens()), len(plan.Customers))
+	solo.rate = evenly(othersLoad*f.rateAt(1, solo.meanTokens()), len(plan.Customers))
 	solo.rate[0] = 0
 	crowded := solo
 	crowded.rate = append([]float64(nil), solo.rate...)
-	crowded.rate[0] = heavyFactor * rateAt(plan, 1, solo.meanTokens()) / float64(len(plan.Customers))
-	t := newTraffic(ctx, f)
-	warm := solo
-	warm.rate = evenly(rateAt(plan, peakLoad, warm.meanTokens()), len(plan.Customers))
-	t.run(warm, b.cfg.Seed, warmUp)
+	crowded.rate[0] = heavyFactor * f.rateAt(1, solo.meanTokens()) / float64(len(plan.Customers))
 	var soloSpans, crowdedSpans []span
 	for run := range b.cfg.Runs {
 		seed := b.cfg.Seed + uint64(run) + 1
@@ -265,13 +260,14 @@
 	t.finish()
 	records, err := recorder.Collect(ctx, recorder.SourcesOf(f.Deployment))
 	if err := errors.CombineErrors(err, f.close(ctx)); err != nil {
-		return nil, err
+		return err
 	}
 	report := recorder.Examine(f.log.Exchanges(), records)
 	b.noteViolations(report)
 	heavy := plan.Customers[0].Name
 	soloSamples := medians(othersIn(report, soloSpans, heavy))
-	return compared(medians(othersIn(report, crowdedSpans, heavy)), map[string][]sample{"solo": soloSamples}), nil
+	b.print(compared(medians(othersIn(report, crowdedSpans, heavy)), map[string][]sample{"solo": soloSamples}))
+	return nil
 }
 
 func (t *traffic) spanOf(m mix, seed uint64) span {
