--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 demo: build
 	bin/prover demo
+
+bench: build
+	bin/prover bench
--- a/cmd/prover/commands.go
+++ b/cmd/prover/commands.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"currantledge.example/currantledge/internal/prover/bencher"
 	"currantledge.example/currantledge/internal/prover/demonstrator"
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/matrixrunner"
@@ -25,6 +26,7 @@
 		{"test", "run go test with the arguments after --", &testCommand{ctx: ctx}},
 		{"demo", "run the demo", &demoCommand{ctx: ctx}},
 		{"faults", "run the fault matrix", &faultsCommand{ctx: ctx}},
+		{"bench", "run the bench", &benchCommand{ctx: ctx}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
@@ -139,3 +141,25 @@
 		return nil, errors.Newf("part %q is unknown", c.Part)
 	}
 }
+
+type benchCommand struct {
+	ctx      context.Context
+	Binaries string `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
+	Only     string `long:"only" value-name:"NAME" description:"run one measure"`
+	Runs     int    `long:"runs" default:"3" description:"runs of each measure, of which the median counts"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the loads"`
+}
+
+// Execute runs the command.
+func (c *benchCommand) Execute([]string) error {
+	binaries, err := findBinaries(c.Binaries)
+	if err != nil {
+		return err
+	}
+	if c.Runs < 1 {
+		return errors.Newf("--runs %d measures nothing; use 1 or more", c.Runs)
+	}
+	return bencher.Run(c.ctx, bencher.Config{
+		Binaries: binaries, Only: c.Only, Runs: c.Runs, Seed: c.Seed, Output: os.Stdout, Progress: os.Stderr,
+	})
+}
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -64,7 +64,9 @@
 	claims      *claimer.Claimer
 	upstream    *upstream
 	links       *links
+	member      *member
 	peers       *dialer.Dialer
+	traffic     *linker.Traffic
 	stopping    atomic.Bool
 	// records counts the writes of answers that are under way.
 	records sync.WaitGroup
@@ -99,9 +101,11 @@
 		platform:    storer.New(storer.Config{BaseURL: s.Platform, Timeout: platformTimeout}),
 		answers:     streamer.NewRegistry(streamer.RegistryConfig{}),
 		links:       newLinks(),
+		traffic:     &linker.Traffic{},
 	}
 	a.admission = newAdmission(a)
 	a.upstream = newUpstream(a)
+	a.member = newMember(a)
 	a.claims = claimer.New(claimer.Config{
 		Table: adapter.Claims(a.platform), Objects: a.platform, Node: s.Node, Incarnation: a.incarnation,
 	})
@@ -117,10 +121,19 @@
 	m.Gauge(meter.UpstreamRunning, func() int64 { return int64(a.admission.load().Running) })
 	m.Gauge(meter.UpstreamLimit, func() int64 { return int64(a.admission.load().Limit) })
 	m.Gauge(meter.CreditsGranted, func() int64 { return int64(a.admission.load().Granted) })
+	a.publishTraffic(m)
+}
+
+// publishTraffic sets the counters of the links.
+func (a *Agent) publishTraffic(m *meter.Meter) {
+	m.Gauge(meter.LinkBytesSent, a.traffic.Sent)
+	m.Gauge(meter.LinkBytesReceived, a.traffic.Received)
+	m.Gauge(meter.ControlBytesSent, a.traffic.ControlSent)
+	m.Gauge(meter.ControlBytesReceived, a.traffic.ControlReceived)
 }
 
 func (a *Agent) linkConfig() linker.Config {
-	return linker.Config{Credentials: a.credentials, Hello: a.hello, Heartbeat: a.heartbeat}
+	return linker.Config{Credentials: a.credentials, Hello: a.hello, Heartbeat: a.heartbeat, Traffic: a.traffic}
 }
 
 func (a *Agent) run(ctx context.Context) error {
@@ -138,6 +151,9 @@
 	group.Add(a.tick)
 	group.Add(a.upstream.watch)
 	group.Add(a.dialPeers)
+	if a.upstream.engine != nil {
+		group.Add(a.member.run)
+	}
 	if a.settings.Metrics != "" {
 		metrics, err := net.Listen("tcp", a.settings.Metrics)
 		if err != nil {
