--- a/cmd/prover/main.go
+++ b/cmd/prover/main.go
@@ -1,4 +1,4 @@
-// Command prover runs the project's tests, demo and fault matrix.
+// Command prover runs the project's tests, demo, fault matrix and bench.
 package main
 
 import (
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -66,11 +66,10 @@
 	Ready bool
 }
 
-// Suspicion counts the crashes of an upstream that a request digest took part in.
+// Suspicion names the upstream crashes that a request digest took part in.
 type Suspicion struct {
 	Digest  identifier.Digest
-	Origin  identifier.Upstream
-	Crashes int
+	Crashes []identifier.Crash
 	// Age is the time since the last crash.
 	Age time.Duration
 }
@@ -249,6 +248,8 @@
 	Broken struct {
 		Reason     Reason
 		MayHaveRun bool
+		// Crash is set if the upstream died.
+		Crash identifier.Crash
 	}
 	// ClaimHeld tells that another attempt holds the claim of the key.
 	ClaimHeld struct {
@@ -257,6 +258,14 @@
 	}
 )
 
+// GroupEvent carries an event between the agents of a model group. Body is in the codec of version/coordinator.
+type GroupEvent struct {
+	Group identifier.ModelGroup
+	From  identifier.Rank
+	Kind  string
+	Body  []byte
+}
+
 type (
 	// Explain asks a node for its recent decisions on a request.
 	Explain struct{ Request identifier.Request }
@@ -279,6 +288,7 @@
 	}
 )
 
+func (GroupEvent) message()  {}
 func (Explain) message()     {}
 func (Explained) message()   {}
 func (Hello) message()       {}
--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -16,6 +16,7 @@
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/request/streamer"
+	"currantledge.example/currantledge/internal/request/translator"
 )
 
 const (
@@ -33,6 +34,8 @@
 	agent    *Agent
 	dispatch messenger.Dispatch
 	buffer   *streamer.Buffer
+	// boot is the upstream's boot id when the run started.
+	boot identifier.Boot
 
 	mu      sync.Mutex
 	cancel  context.CancelCauseFunc
@@ -130,7 +133,7 @@
 	r.buffer.SetHead(messenger.Head{Request: d.Request, Customer: d.Customer, Status: http.StatusOK})
 	_, err := engine.Generate(ctx, driver.Generation{
 		Request: d.Request, Customer: Salted(d.Customer), Model: d.Target.Model, Prompt: d.Body, Generated: d.Generated,
-		MaxTokens: d.MaxTokens, Priority: d.Priority, Prefix: d.Digest,
+		MaxTokens: d.MaxTokens, Priority: d.Priority, Prefix: translator.Prefix(d.Customer, d.Target.Model, d.Body),
 	}, func(text []byte) error {
 		if first {
 			first = false
@@ -222,11 +225,11 @@
 
 // fail ends an answer that broke off.
 func (r *run) fail() {
-	reason := messenger.ReasonUpstreamError
-	if r.agent.upstream.broke(context.Background()) {
-		reason = messenger.ReasonUpstreamDied
+	broken := messenger.Broken{Reason: messenger.ReasonUpstreamError, MayHaveRun: true}
+	if crash, died := r.agent.upstream.broke(context.Background(), r.boot); died {
+		broken.Reason, broken.Crash = messenger.ReasonUpstreamDied, crash
 	}
-	r.buffer.Fail(reason, true)
+	r.buffer.Break(broken)
 }
 
 // attended counts the entries attached to the answer. A repeatable run without any is cancelled after a while.
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -122,6 +122,7 @@
 		u.agent.admission.cool("upstream restarted")
 	}
 	u.stepTime.Store(int64(report.StepTime))
+	u.agent.member.report(report)
 	u.setReady(true)
 	return died
 }
@@ -145,26 +146,31 @@
 	u.agent.adopted()
 }
 
-// broke is called when a running request lost its upstream. It tells whether the upstream itself died, and counts
-// each death once.
-func (u *upstream) broke(ctx context.Context) bool {
+// current returns the boot id that the upstream reported last.
+func (u *upstream) current() identifier.Boot {
 	u.mu.Lock()
-	boot := u.boot
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	return u.boot
+}
+
+// broke is called when a request that started under a boot id lost its upstream. It names the death if the upstream
+// itself died, and counts each death once.
+func (u *upstream) broke(ctx context.Context, boot identifier.Boot) (identifier.Crash, bool) {
+	crash := identifier.Crash(string(u.agent.settings.Upstream) + "/" + string(boot))
 	// A run leaves the running set when this returns. If it did so before the death is counted, the death would not be
 	// counted against its digest.
 	u.deaths.Lock()
 	defer u.deaths.Unlock()
 	if boot != "" && u.crashed == boot {
-		return true
+		return crash, true
 	}
 	if !u.diedSince(ctx, boot) {
-		return false
+		return "", false
 	}
 	u.crashed = boot
-	u.agent.admission.crashed()
+	u.agent.admission.crashed(crash)
 	u.agent.admission.cool("upstream died")
-	return true
+	return crash, true
 }
 
 // diedSince asks the upstream for its boot id. An upstream that refuses the connection or has another boot id has
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -15,7 +15,6 @@
 	"currantledge.example/currantledge/internal/connection/pooler"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
-	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/refuser"
 	"currantledge.example/currantledge/internal/request/router"
@@ -30,13 +29,18 @@
 	repeatDemand = 250 * time.Millisecond
 	retryPause   = 20 * time.Millisecond
 	retryAfter   = 2 * time.Second
-	// copyPause is how long a suspected request waits before it asks again whether its copy still runs.
-	copyPause = 100 * time.Millisecond
 	// avoidFor keeps a request from an upstream that has just refused it.
 	avoidFor = 500 * time.Millisecond
 	// noUpstreamWait lets links come up before a request is refused for want of an upstream.
 	noUpstreamWait = 3 * time.Second
 	maxAttempts    = 16
+	// copyWidth is the number of upstreams that identical model requests may run on at the same time. It is the number
+	// of crashes that one request may cost.
+	copyWidth = 2
+	// suspectWidth is the number of upstreams that a request may run on after it took part in a crash.
+	suspectWidth = 1
+	// refuseCrashes is the number of crashes after which a request is refused.
+	refuseCrashes = 2
 )
 
 // ErrCallerGone tells that the caller closed its connection.
@@ -84,10 +88,10 @@
 	Log  *logger.Logger
 	// Candidates returns the upstreams in force for a target.
 	Candidates func(messenger.Target) []router.Candidate
-	// Suspect returns how many upstreams a request digest has crashed.
+	// Suspect returns how many upstreams died while they ran a request digest.
 	Suspect func(identifier.Digest) int
 	// Crashed records that an upstream died while it ran a request digest.
-	Crashed func(identifier.Digest, identifier.Upstream)
+	Crashed func(identifier.Digest, identifier.Crash)
 	Policy  router.Policy
 }
 
@@ -100,14 +104,16 @@
 	queue   *queuer.Queuer
 	waiting map[identifier.Request]chan queuer.Match
 	senders map[identifier.Upstream]*sender
-	running map[identifier.Digest]*placement
-	open    int
+	// copies counts the open requests of each digest.
+	copies map[identifier.Digest]*copies
+	open   int
 }
 
-// placement is the upstream that copies of one request digest run on.
-type placement struct {
-	upstream identifier.Upstream
-	count    int
+// copies are the open requests of one digest.
+type copies struct {
+	count int
+	// second is closed when there is more than one, so that the first restricts its search as well.
+	second chan struct{}
 }
 
 // New returns a dispatcher.
@@ -117,7 +123,7 @@
 	}
 	return &Dispatcher{
 		cfg: cfg, queue: queuer.New(), waiting: map[identifier.Request]chan queuer.Match{},
-		senders: map[identifier.Upstream]*sender{}, running: map[identifier.Digest]*placement{},
+		senders: map[identifier.Upstream]*sender{}, copies: map[identifier.Digest]*copies{},
 	}
 }
 
@@ -149,8 +155,8 @@
 // Serve serves a request to its end. It returns nil if the whole answer was delivered, a *refuser.Problem if the
 // caller must be told why not, and ErrCallerGone if nobody waits for the answer any more.
 func (d *Dispatcher) Serve(ctx context.Context, call Call, sink Sink) error {
-	d.count(1)
-	defer d.count(-1)
+	d.begin(call.Digest)
+	defer d.end(call.Digest)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &session{dispatcher: d, call: call, sink: sink}
@@ -159,10 +165,46 @@
 	return err
 }
 
-func (d *Dispatcher) count(delta int) {
+func (d *Dispatcher) begin(digest identifier.Digest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.open += delta
+	d.open++
+	c, ok := d.copies[digest]
+	if !ok {
+		c = &copies{second: make(chan struct{})}
+		d.copies[digest] = c
+	}
+	c.count++
+	if c.count > 1 && !closed(c.second) {
+		close(c.second)
+	}
+}
+
+func (d *Dispatcher) end(digest identifier.Digest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	c := d.copies[digest]
+	c.count--
+	if c.count == 0 {
+		delete(d.copies, digest)
+	}
+}
+
+// copied returns a channel that is closed once the digest has or had a second open request.
+func (d *Dispatcher) copied(digest identifier.Digest) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.copies[digest].second
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 func (d *Dispatcher) logOutcome(call Call, err error) {
@@ -183,14 +225,12 @@
 // serve repeats attempts while that is safe.
 func (s *session) serve(ctx context.Context) error {
 	avoid := map[identifier.Upstream]time.Time{}
-	for attempts := 0; attempts < maxAttempts; {
+	for range maxAttempts {
 		match, err := s.acquire(ctx, avoid)
 		if err != nil {
 			return err
 		}
-		s.dispatcher.place(s.call.Digest, match.Upstream)
 		outcome := s.run(ctx, match)
-		s.dispatcher.unplace(s.call.Digest)
 		if held, ok := outcome.(resultHeld); ok {
 			outcome = s.inquire(ctx, held.claim)
 		}
@@ -200,12 +240,9 @@
 		if !s.again(outcome) {
 			return s.problem(outcome)
 		}
-		if s.behindCopy(outcome) {
-			pause(ctx, copyPause)
-			continue
+		if leaves(outcome) {
+			avoid[match.Upstream] = time.Now().Add(avoidFor)
 		}
-		attempts++
-		avoid[match.Upstream] = time.Now().Add(avoidFor)
 		s.dispatcher.cfg.Log.Decide(logger.Decision{
 			Event: logger.EventResumed, Request: s.call.Request, Choice: "anotherAttempt", Reason: reasonOf(outcome),
 		})
@@ -213,13 +250,6 @@
 	return s.exhausted()
 }
 
-// behindCopy tells whether a suspected request was refused because a copy of it runs. It waits for the outcome of that
-// copy, since on another upstream it would run beside it and could make a further upstream fall over.
-func (s *session) behindCopy(r result) bool {
-	refused, ok := r.(resultRefused)
-	return ok && refused.reason == messenger.ReasonOverloaded && s.dispatcher.cfg.Suspect(s.call.Digest) > 0
-}
-
 // again tells whether another attempt is safe and useful.
 func (s *session) again(r result) bool {
 	switch r := r.(type) {
@@ -236,8 +266,8 @@
 // non-idempotent call, and a service call only while the caller has no byte of its answer. A model stream resumes
 // after the text that the caller has.
 func (s *session) againAfter(r resultBroken) bool {
-	if r.reason == messenger.ReasonUpstreamDied {
-		s.dispatcher.cfg.Crashed(s.call.Digest, s.attempt.upstream)
+	if r.crash != "" {
+		s.dispatcher.cfg.Crashed(s.call.Digest, r.crash)
 	}
 	if r.reason == messenger.ReasonMismatch || r.reason == messenger.ReasonDeadline {
 		return false
@@ -259,6 +289,13 @@
 	}
 }
 
+// leaves tells whether the next attempt goes elsewhere for a while. A credit that was revoked in the meantime says
+// nothing against the upstream.
+func leaves(r result) bool {
+	refused, ok := r.(resultRefused)
+	return !ok || (refused.reason != messenger.ReasonNoCredit && refused.reason != messenger.ReasonOldIncarnation)
+}
+
 func reasonOf(r result) string {
 	switch r := r.(type) {
 	case resultRefused:
@@ -270,11 +307,9 @@
 	}
 }
 
-// exhausted returns the problem after the last permitted attempt.
+// exhausted returns the problem after the last permitted attempt. Attempts go on only while none can have run, or while
+// another run does no harm.
 func (s *session) exhausted() error {
-	if s.attempt.started && !s.call.Idempotent && s.call.Target.Kind == messenger.TargetService {
-		return refuser.Unknown(messenger.ReasonAgentLost)
-	}
 	return s.refused(messenger.ReasonNoCredit)
 }
 
@@ -289,9 +324,13 @@
 	started := time.Now()
 	ticker := time.NewTicker(reorderInterval)
 	defer ticker.Stop()
+	copied := d.copied(s.call.Digest)
 	for {
-		choices := d.order(s.call, avoid)
-		if err := s.checkWait(started, len(choices)); err != nil {
+		if d.cfg.Suspect(s.call.Digest) >= refuseCrashes {
+			return queuer.Match{}, s.refused(messenger.ReasonQuarantined)
+		}
+		choices, inService := d.order(s.call, avoid)
+		if err := s.checkWait(started, inService); err != nil {
 			return queuer.Match{}, err
 		}
 		d.enqueue(s.call, choices)
@@ -301,19 +340,17 @@
 		case match := <-granted:
 			d.logRouted(s.call, match, choices)
 			return match, nil
+		case <-copied:
+			copied = nil
 		case <-ticker.C:
 		}
 	}
 }
 
-// checkWait refuses a request that has waited for too long, has no upstream or has crashed upstreams. The agent that
-// would get the request next may not have heard of the last crash yet.
-func (s *session) checkWait(started time.Time, choices int) error {
+// checkWait refuses a request that has waited for too long or has no upstream.
+func (s *session) checkWait(started time.Time, inService int) error {
 	now := time.Now()
-	if s.dispatcher.cfg.Suspect(s.call.Digest) >= quarantiner.RefuseAfter {
-		return s.refused(messenger.ReasonQuarantined)
-	}
-	if choices == 0 && now.Sub(started) > noUpstreamWait {
+	if inService == 0 && now.Sub(started) > noUpstreamWait {
 		return s.problem(s.waitingFailed(messenger.ReasonNoUpstream))
 	}
 	if now.After(s.call.WaitUntil) {
@@ -390,70 +427,38 @@
 	}
 }
 
-// order returns the upstreams to ask, without those that have just refused the request unless all have.
-func (d *Dispatcher) order(call Call, avoid map[identifier.Upstream]time.Time) []router.Choice {
-	all := d.cfg.Candidates(call.Target)
-	now := time.Now()
-	candidates := make([]router.Candidate, 0, len(all))
-	for _, c := range all {
-		if until, ok := avoid[c.Upstream]; ok && now.Before(until) {
-			continue
-		}
-		candidates = append(candidates, c)
-	}
-	if len(candidates) == 0 {
-		candidates = all
-	}
+// order returns the upstreams to ask without those that have just refused the request, and how many upstreams are in
+// service. Upstreams are left out after the choice, so that a refusal does not bring in another one for a copied request.
+func (d *Dispatcher) order(call Call, avoid map[identifier.Upstream]time.Time) ([]router.Choice, int) {
+	candidates := d.cfg.Candidates(call.Target)
 	if len(candidates) == 0 {
-		return nil
-	}
-	request := router.Request{Affinity: call.Affinity, Sticky: call.keyed(), Turn: d.turn.Add(1)}
-	if d.cfg.Suspect(call.Digest) > 0 {
-		// All entries order the upstreams alike for a suspected request, so that its copies meet at one.
-		request = router.Request{Affinity: call.Digest, Sticky: true}
-		return router.Order(d.cfg.Policy, request, candidates)[:1]
-	}
-	choices := router.Order(d.cfg.Policy, request, candidates)
-	return d.withCopies(call, choices)
-}
-
-// withCopies restricts a model request to the upstream that runs an identical one, so that a request that crashes
-// upstreams does not reach several at once.
-func (d *Dispatcher) withCopies(call Call, choices []router.Choice) []router.Choice {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.running[call.Digest]
-	if !ok || call.Target.Kind != messenger.TargetModel {
-		return choices
+		return nil, 0
 	}
-	for _, c := range choices {
-		if c.Upstream == p.upstream {
-			return []router.Choice{c}
+	now := time.Now()
+	var choices []router.Choice
+	for _, c := range d.restrict(call, candidates) {
+		if until, ok := avoid[c.Upstream]; !ok || now.After(until) {
+			choices = append(choices, c)
 		}
 	}
-	return choices
-}
-
-func (d *Dispatcher) place(digest identifier.Digest, upstream identifier.Upstream) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.running[digest]
-	if !ok {
-		p = &placement{}
-		d.running[digest] = p
-	}
-	p.upstream = upstream
-	p.count++
+	return choices, len(candidates)
 }
 
-func (d *Dispatcher) unplace(digest identifier.Digest) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.running[digest]
-	p.count--
-	if p.count == 0 {
-		delete(d.running, digest)
+// restrict orders the candidates. Identical model requests keep to few upstreams, the same at all entries, so that one
+// that crashes upstreams cannot reach many before the first crash is known.
+func (d *Dispatcher) restrict(call Call, candidates []router.Candidate) []router.Choice {
+	request := router.Request{Affinity: call.Affinity, Sticky: call.keyed(), Turn: d.turn.Add(1)}
+	width := len(candidates)
+	if call.Target.Kind == messenger.TargetModel {
+		switch {
+		case d.cfg.Suspect(call.Digest) > 0:
+			request.Sticky, width = true, suspectWidth
+		case closed(d.copied(call.Digest)):
+			request.Sticky, width = true, copyWidth
+		}
 	}
+	choices := router.Order(d.cfg.Policy, request, candidates)
+	return choices[:min(width, len(choices))]
 }
 
 func (d *Dispatcher) logRouted(call Call, m queuer.Match, choices []router.Choice) {
--- a/internal/standin/engineserver/report.go
+++ b/internal/standin/engineserver/report.go
@@ -93,6 +93,10 @@
 	for _, n := range e.expertTokens {
 		experts = append(experts, int64(n))
 	}
+	if e.maps.alone {
+		// Without a group there is no expert map to change.
+		experts = nil
+	}
 	tokens := 0
 	for _, g := range e.running {
 		tokens += g.kv().tokens
@@ -103,8 +107,8 @@
 		Waiting:     len(e.waiting),
 		Step:        uint64(e.step),
 		StepMicros:  e.stepTime.Microseconds(),
-		MapVersion:  uint64(e.maps.version),
-		PreparedMap: uint64(e.maps.prepared()),
+		MapVersion:  uint64(e.maps.current.version),
+		PreparedMap: uint64(e.maps.lowestOpen()),
 		Experts:     experts,
 		Models:      e.models.snapshot(),
 		Role:        e.role,
