Grant nothing before an engine has its first map

Cause: an engine of a lock-step group lets requests wait until it has a map, so callers would wait with it. Ruled out: a refusal by the engine, which the protocol does not have. Change: an agent drains while its engine reports experts but no map. Conclusion: requests stay at entries until the group runs.

--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -250,6 +250,8 @@
 		reason = "failure domain out"
 	case !a.upstream.ready.Load():
 		reason = "upstream not answering"
+	case a.upstream.mapless.Load():
+		reason = "no expert map yet"
 	}
 	a.admission.apply(u, reason)
 	a.links.beat()
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -38,10 +38,12 @@
 
 // upstream watches the upstream and runs requests on it.
 type upstream struct {
-	agent    *Agent
-	engine   *driver.Engine
-	service  *driver.Service
-	ready    atomic.Bool
+	agent   *Agent
+	engine  *driver.Engine
+	service *driver.Service
+	ready   atomic.Bool
+	// mapless is set while the engine waits for the first expert map of its group.
+	mapless  atomic.Bool
 	stepTime atomic.Int64
 
 	mu     sync.Mutex
@@ -123,6 +125,7 @@
 	}
 	u.stepTime.Store(int64(report.StepTime))
 	u.agent.member.report(report)
+	u.setMapless(len(report.Experts) > 0 && report.MapVersion == 0)
 	u.setReady(true)
 	return died
 }
@@ -134,6 +137,13 @@
 	return u.engine.Report(ctx)
 }
 
+// setMapless keeps requests away from an engine that would let them wait for its first map.
+func (u *upstream) setMapless(mapless bool) {
+	if u.mapless.Swap(mapless) != mapless {
+		u.agent.adopted()
+	}
+}
+
 // setReady cools the upstream down when it stops answering, since it comes back cold.
 func (u *upstream) setReady(ready bool) {
 	if u.ready.Swap(ready) == ready {
