Start nothing on an upstream between its death and its next boot

Cause: TestCrashingRequestIsStopped failed once with 3 crashes: a copy was dispatched 5 ms before the report that named the new boot, so its crash was taken for the one counted before (trace: request 556dde, upstreamDied without event 407). Ruled out: lost news; all entries knew of the first crash. Change: an agent counts its upstream as not answering as soon as a death is counted, until a report comes. Conclusion: each boot's crash counts.

--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -179,7 +179,9 @@
 	}
 	u.crashed = boot
 	u.agent.admission.crashed(crash)
-	u.agent.admission.cool("upstream died")
+	// Nothing starts until a report names the next boot. A request that started under the old boot id would have its
+	// own crash taken for this one.
+	u.setReady(false)
 	return crash, true
 }
 
