--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -55,6 +55,12 @@
 		return t.reachDomainOut(ctx)
 	case StepDomainBack:
 		return t.reachDomainBack(ctx)
+	case StepMapPrepare:
+		return t.reachMapPrepare(ctx)
+	case StepMapDecision:
+		return t.reachMapDecision(ctx)
+	case StepMapSwitch:
+		return t.reachMapSwitch(ctx)
 	case StepConfigWrite:
 		return t.reachConfigWrite(ctx)
 	case StepConfigSpread:
@@ -207,6 +213,7 @@
 
 // reachJoining stops the agent gracefully and starts it again.
 func (t *trial) reachJoining(ctx context.Context) error {
+	t.planned = true
 	if err := t.agent.Process.Terminate(); err != nil {
 		return err
 	}
