--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -76,44 +76,48 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := d.once(ctx, address)
+		up, err := d.once(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
+		event := logger.EventDialFailed
+		if up {
+			event = logger.EventLinkDown
+		}
 		if time.Since(started) > dialTimeout+maxBackoff {
 			backoff = firstBackoff
 		}
-		d.cfg.Log.Event(logger.EventLinkDown).Str("address", address).AnErr("cause", err).Send()
+		d.cfg.Log.Event(event).Str("address", address).AnErr("cause", err).Send()
 		pause(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 // once dials and serves one connection. Every connection has its own UDP socket, so that a path element that
-// has lost track of the old flow sees a new one.
-func (d *Dialer) once(ctx context.Context, address string) error {
+// has lost track of the old flow sees a new one. It tells whether the link was established.
+func (d *Dialer) once(ctx context.Context, address string) (bool, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	transport, err := d.open()
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer closeTransport(transport)
 	peer, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
-		return errors.Wrapf(err, "read address %s; write it as IP:port", address)
+		return false, errors.Wrapf(err, "read address %s; write it as IP:port", address)
 	}
 	conn, err := transport.Dial(dialCtx, peer, d.cfg.Link.Credentials.ClientTLS(), linker.QUIC())
 	if err != nil {
-		return errors.Wrap(err, "dial")
+		return false, errors.Wrap(err, "dial")
 	}
 	link, err := linker.Greet(dialCtx, d.cfg.Link, conn, true)
 	if err != nil {
 		_ = conn.CloseWithError(0, "greeting failed")
-		return err
+		return false, err
 	}
 	d.cfg.Log.Event(logger.EventLinkUp).Str("peer", string(link.Peer().Node)).Str("address", address).Send()
-	return d.cfg.Serve(ctx, link)
+	return true, d.cfg.Serve(ctx, link)
 }
 
 // open opens a socket on a free port of the node's own address.
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -39,6 +39,8 @@
 	platformTimeout = 2 * time.Second
 	// acknowledgeWait bounds the wait for acknowledgements after the last request has finished.
 	acknowledgeWait = 10 * time.Second
+	// recordWait bounds the wait for the table to take the answers of keyed calls.
+	recordWait = 30 * time.Second
 	// lonelyAfter is when an agent without a link asks its peers for the configuration.
 	lonelyAfter   = 2 * time.Second
 	headerTimeout = 10 * time.Second
@@ -198,17 +200,19 @@
 			return nil
 		}
 	}
+	a.awaitRecords(partCtx)
 	ackCtx, cancel := context.WithTimeout(partCtx, acknowledgeWait)
 	defer cancel()
 	// Answers that nobody has acknowledged by then belong to entries that are gone.
 	_ = a.answers.Wait(ackCtx)
-	a.awaitRecords(ackCtx)
 	return nil
 }
 
 // awaitRecords waits until answers of keyed calls are in the table. A claim without its answer would tell callers
 // that send again that the outcome is unknown.
 func (a *Agent) awaitRecords(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
--- a/internal/process/agentrunner/links.go
+++ b/internal/process/agentrunner/links.go
@@ -107,7 +107,22 @@
 }
 
 func (a *Agent) handle(link *linker.Link, m messenger.Message) {
-	entry := link.Peer().Node
+	if link.Peer().Role == identifier.RoleEntry && a.handleCredits(link.Peer().Node, m) {
+		return
+	}
+	switch m := m.(type) {
+	case messenger.GroupEvent:
+		a.member.receive(link, m)
+	case messenger.Heartbeat:
+		a.admission.merge(m.Suspicions)
+		a.distributor.Seen(link, m.Revision)
+	default:
+		a.distributor.Handle(link, m)
+	}
+}
+
+// handleCredits takes the demand and the returned credits of an entry. It reports whether the message was one of these.
+func (a *Agent) handleCredits(entry identifier.Node, m messenger.Message) bool {
 	switch m := m.(type) {
 	case messenger.Demand:
 		a.admission.update(func(now time.Time, g *granter.Granter) []granter.Issue {
@@ -117,14 +132,10 @@
 		a.admission.update(func(now time.Time, g *granter.Granter) []granter.Issue {
 			return g.Return(now, entry, m)
 		})
-	case messenger.GroupEvent:
-		a.member.receive(link, m)
-	case messenger.Heartbeat:
-		a.admission.merge(m.Suspicions)
-		a.distributor.Seen(link, m.Revision)
 	default:
-		a.distributor.Handle(link, m)
+		return false
 	}
+	return true
 }
 
 // dialPeers asks the entries in the settings for the configuration while no entry has linked to this agent.
--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -15,6 +15,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/claimer"
+	"currantledge.example/currantledge/internal/request/refuser"
 	"currantledge.example/currantledge/internal/request/streamer"
 	"currantledge.example/currantledge/internal/request/translator"
 )
@@ -23,7 +24,7 @@
 	// orphanAfter is how long a repeatable request runs on while no entry is attached to it.
 	orphanAfter = 10 * time.Second
 	saltBytes   = 16
-	// maxRecorded bounds the answers that are recorded for replay.
+	// maxRecorded bounds the memory for an answer that is recorded for replay.
 	maxRecorded = 16 << 20
 )
 
@@ -45,6 +46,8 @@
 	status  int
 	headers []messenger.Header
 	body    []byte
+	// tooLong is set if the answer is longer than what is recorded.
+	tooLong bool
 }
 
 // repeatable tells whether the run may be cancelled, because another run does no harm.
@@ -168,13 +171,36 @@
 		r.buffer.SetHead(messenger.Head{Request: d.Request, Customer: d.Customer, Status: status, Headers: headers})
 		return nil
 	}, func(part []byte) error {
-		if r.keyed() && len(r.body)+len(part) <= maxRecorded {
-			r.body = append(r.body, part...)
-		}
+		r.keep(part)
 		return r.buffer.Append(ctx, part)
 	})
 }
 
+// keep collects the answer of a keyed call for its record.
+func (r *run) keep(part []byte) {
+	if !r.keyed() || r.tooLong {
+		return
+	}
+	if len(r.body)+len(part) > maxRecorded {
+		r.tooLong, r.body = true, nil
+		return
+	}
+	r.body = append(r.body, part...)
+}
+
+// answer returns what is recorded. A caller that sends a call with a very long answer again learns that it has run, but
+// not the answer, which is never shown in part.
+func (r *run) answer() claimer.Answer {
+	if !r.tooLong {
+		return claimer.Answer{Status: r.status, Headers: r.headers, Body: r.body}
+	}
+	problem := refuser.Unknown(messenger.ReasonClaimUnresolved)
+	problem.Request = r.dispatch.Request
+	return claimer.Answer{
+		Status: problem.Status, Headers: []messenger.Header{{Name: "Content-Type", Value: refuser.ContentType}}, Body: problem.JSON(),
+	}
+}
+
 // settle ends the answer and gives the capacity back.
 func (r *run) settle(ctx context.Context, err error) {
 	var notStarted *driver.NotStartedError
@@ -196,7 +222,7 @@
 // process lives, it answers inquiries from memory.
 func (r *run) complete() {
 	if r.keyed() {
-		answer := claimer.Answer{Status: r.status, Headers: r.headers, Body: r.body}
+		answer := r.answer()
 		r.agent.records.Go(func() { r.record(answer) })
 	}
 	r.buffer.Finish()
--- a/internal/process/agentrunner/streams.go
+++ b/internal/process/agentrunner/streams.go
@@ -10,6 +10,7 @@
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/explainer"
+	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/streamer"
 )
@@ -23,6 +24,15 @@
 	if err != nil {
 		return
 	}
+	if explain, ok := first.(messenger.Explain); ok {
+		explainer.Answer(stream, a.log, explain)
+		return
+	}
+	if link.Peer().Role != identifier.RoleEntry {
+		// Only entries know the customers behind requests.
+		_ = stream.Send(messenger.Refused{Reason: messenger.ReasonUnauthenticated})
+		return
+	}
 	switch m := first.(type) {
 	case messenger.Dispatch:
 		a.dispatch(ctx, link, stream, m)
@@ -30,8 +40,6 @@
 		a.attach(ctx, stream, m)
 	case messenger.Inquire:
 		a.inquire(ctx, stream, m)
-	case messenger.Explain:
-		explainer.Answer(stream, a.log, m)
 	default:
 		_ = stream.Send(messenger.Refused{Reason: messenger.ReasonMalformed})
 	}
--- a/internal/process/entryrunner/callers.go
+++ b/internal/process/entryrunner/callers.go
@@ -37,6 +37,7 @@
 func newCallers(e *Entry) (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
+	app.OnErrorCode(http.StatusNotFound, unknownPath)
 	app.Get("/livez", func(ctx iris.Context) { ctx.StatusCode(http.StatusOK) })
 	app.Get("/readyz", e.ready)
 	app.Post("/v1/chat/completions", e.model(translator.EndpointChat))
@@ -46,6 +47,14 @@
 	return app, errors.Wrap(app.Build(), "build the callers' API")
 }
 
+// unknownPath refuses paths that are no endpoint.
+func unknownPath(ctx iris.Context) {
+	problem := refuser.NotRun(messenger.ReasonUnknownTarget, 0)
+	problem.Title = "there is no endpoint at this path"
+	problem.Remedy = "use /v1/chat/completions, /v1/completions or /services/{service}/ and a path of the service"
+	problem.Write(ctx.ResponseWriter())
+}
+
 // ready fails while the entry stops, has no configuration, or its failure domain is out.
 func (e *Entry) ready(ctx iris.Context) {
 	snapshot := e.store.Snapshot()
--- a/internal/process/entryrunner/links.go
+++ b/internal/process/entryrunner/links.go
@@ -11,6 +11,7 @@
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/registrar"
 	"currantledge.example/currantledge/internal/request/router"
 )
@@ -131,8 +132,10 @@
 
 // dial keeps links to the upstreams' agents and to other entries until ctx ends.
 func (e *Entry) dial(ctx context.Context) error {
+	states := map[identifier.Node]registrar.State{}
 	for {
 		revision := e.store.Revision()
+		e.logStates(states)
 		e.agents.Want(ctx, e.agentAddresses())
 		e.entries.Want(ctx, e.entryAddresses())
 		timer := time.NewTimer(dialInterval)
@@ -147,6 +150,20 @@
 	}
 }
 
+// logStates logs the nodes whose state differs from the one logged last.
+func (e *Entry) logStates(last map[identifier.Node]registrar.State) {
+	for _, n := range e.nodes.Nodes(time.Now()) {
+		if last[n.Node] == n.State || n.Node == e.settings.Node {
+			continue
+		}
+		last[n.Node] = n.State
+		e.log.Decide(logger.Decision{
+			Event: logger.EventNodeState, Choice: string(n.State), Reason: n.Reason,
+			Fields: []logger.Field{{Name: "peer", Value: string(n.Node)}},
+		})
+	}
+}
+
 // agentAddresses returns the agents to link to: all of a small group or service, a fixed subset of a large one.
 func (e *Entry) agentAddresses() []string {
 	snapshot := e.store.Snapshot()
--- a/internal/process/entryrunner/operators.go
+++ b/internal/process/entryrunner/operators.go
@@ -11,6 +11,8 @@
 	"currantledge.example/currantledge/internal/process/administrator"
 	"currantledge.example/currantledge/internal/process/explainer"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/version/coordinator"
 )
 
 const (
@@ -101,10 +103,14 @@
 	}
 	out := make([]administrator.MapStatus, 0, len(rows))
 	for _, row := range rows {
+		version, err := coordinator.CommittedVersion(coordinator.Row{Version: row.Version, Value: row.Value})
+		if err != nil {
+			// One damaged row does not hide the others.
+			m.entry.log.Event(logger.EventPlatformFailed).Str("operation", "readMap").AnErr("cause", err).Send()
+			continue
+		}
 		out = append(out, administrator.MapStatus{
-			Group:    identifier.ModelGroup(strings.TrimPrefix(row.Key, mapPrefix)),
-			Version:  identifier.MapVersion(row.Version),
-			Document: row.Value,
+			Group: identifier.ModelGroup(strings.TrimPrefix(row.Key, mapPrefix)), Version: version, Document: row.Value,
 		})
 	}
 	return out, nil
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -15,11 +15,11 @@
 	EventStarted        Event = 100
 	EventStopping       Event = 101
 	EventStopped        Event = 102
-	EventListenFailed   Event = 103
 	EventLinkUp         Event = 200
 	EventLinkDown       Event = 201
 	EventLinkRefused    Event = 202
 	EventNodeState      Event = 203
+	EventDialFailed     Event = 204
 	EventRouted         Event = 300
 	EventResumed        Event = 301
 	EventReattached     Event = 302
@@ -27,6 +27,7 @@
 	EventRefused        Event = 304
 	EventUnknown        Event = 305
 	EventCancelled      Event = 306
+	EventRequeued       Event = 307
 	EventGranted        Event = 400
 	EventLimitChanged   Event = 401
 	EventDispatched     Event = 402
@@ -47,7 +48,6 @@
 	EventMapDecided     Event = 603
 	EventMapPlaced      Event = 604
 	EventOrderRefused   Event = 605
-	EventModelAssigned  Event = 606
 )
 
 type entry struct {
@@ -59,11 +59,11 @@
 	EventStarted:        {zerolog.InfoLevel, "process started"},
 	EventStopping:       {zerolog.InfoLevel, "graceful shutdown started"},
 	EventStopped:        {zerolog.InfoLevel, "process stopped"},
-	EventListenFailed:   {zerolog.ErrorLevel, "listener failed"},
 	EventLinkUp:         {zerolog.InfoLevel, "link established"},
 	EventLinkDown:       {zerolog.WarnLevel, "link lost"},
 	EventLinkRefused:    {zerolog.WarnLevel, "link refused"},
 	EventNodeState:      {zerolog.InfoLevel, "node state changed"},
+	EventDialFailed:     {zerolog.WarnLevel, "link could not be established"},
 	EventRouted:         {zerolog.InfoLevel, "request routed"},
 	EventResumed:        {zerolog.InfoLevel, "stream resumed on another upstream"},
 	EventReattached:     {zerolog.InfoLevel, "stream re-attached over a new connection"},
@@ -71,6 +71,7 @@
 	EventRefused:        {zerolog.InfoLevel, "request refused, not run"},
 	EventUnknown:        {zerolog.WarnLevel, "request outcome unknown"},
 	EventCancelled:      {zerolog.InfoLevel, "request cancelled"},
+	EventRequeued:       {zerolog.InfoLevel, "request queued again"},
 	EventGranted:        {zerolog.DebugLevel, "credits granted"},
 	EventLimitChanged:   {zerolog.InfoLevel, "upstream limit changed"},
 	EventDispatched:     {zerolog.InfoLevel, "request dispatched to the upstream"},
@@ -91,7 +92,6 @@
 	EventMapDecided:     {zerolog.InfoLevel, "expert map decided"},
 	EventMapPlaced:      {zerolog.InfoLevel, "expert placement chosen"},
 	EventOrderRefused:   {zerolog.WarnLevel, "order with an old fencing number refused"},
-	EventModelAssigned:  {zerolog.InfoLevel, "model assignment chosen"},
 }
 
 // Described is one row of the event catalogue.
--- a/internal/prover/verifier/change_test.go
+++ b/internal/prover/verifier/change_test.go
@@ -50,8 +50,9 @@
 	require.NoError(t, s.SetFailureDomain(s.ctx, out, launcher.StateOut))
 	left := time.Now()
 	time.Sleep(5 * time.Second)
-	require.NoError(t, s.SetFailureDomain(s.ctx, out, launcher.StateIn))
+	// Work is right as soon as the change is accepted, which is before its answer arrives here.
 	returned := time.Now()
+	require.NoError(t, s.SetFailureDomain(s.ctx, out, launcher.StateIn))
 	summary := s.verdicts()
 	require.Equal(t, summary.Sent, summary.Complete, summary)
 	for _, a := range agents {
--- a/internal/request/refuser/refuser.go
+++ b/internal/request/refuser/refuser.go
@@ -87,6 +87,9 @@
 	if !ok {
 		t = notRun[messenger.ReasonNoCredit]
 	}
+	if t.remedy != remedyResend && reason != messenger.ReasonQueueFull {
+		retryAfter = 0
+	}
 	return &Problem{
 		Outcome: OutcomeNotRun, Reason: reason, Status: t.status, Title: t.title, Remedy: t.remedy, RetryAfter: retryAfter,
 	}
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -243,8 +243,12 @@
 		if leaves(outcome) {
 			avoid[match.Upstream] = time.Now().Add(avoidFor)
 		}
+		event := logger.EventRequeued
+		if s.headSent {
+			event = logger.EventResumed
+		}
 		s.dispatcher.cfg.Log.Decide(logger.Decision{
-			Event: logger.EventResumed, Request: s.call.Request, Choice: "anotherAttempt", Reason: reasonOf(outcome),
+			Event: event, Request: s.call.Request, Choice: "anotherAttempt", Reason: reasonOf(outcome),
 		})
 	}
 	return s.exhausted()
--- a/internal/request/streamer/session.go
+++ b/internal/request/streamer/session.go
@@ -150,6 +150,8 @@
 	case messenger.Refused:
 		return resultRefused{reason: m.Reason}
 	case messenger.Broken:
+		// The agent need not keep what will not be asked for again.
+		_ = stream.Send(messenger.Ack{Offset: s.attempt.offset, Finished: true})
 		return resultBroken{reason: m.Reason, mayHaveRun: m.MayHaveRun, crash: m.Crash}
 	case messenger.ClaimHeld:
 		return resultHeld{claim: m}
--- a/internal/request/translator/translator.go
+++ b/internal/request/translator/translator.go
@@ -78,7 +78,7 @@
 	}
 	var w wireGeneration
 	if err := json.Unmarshal(raw, &w); err != nil {
-		return Generation{}, refuser.Malformed("the body is not the JSON object of a completion request: " + err.Error())
+		return Generation{}, refuser.Malformed(describeJSON(err))
 	}
 	g := Generation{Model: identifier.Model(w.Model), MaxTokens: identifier.Tokens(w.MaxTokens), Stream: w.Stream}
 	if w.MaxTokens < 0 {
@@ -100,6 +100,15 @@
 	return g, nil
 }
 
+// describeJSON says what is wrong with a body without the names of this program's types.
+func describeJSON(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf("the field %q of the body is a %s, but must be a %s", wrong.Field, wrong.Value, wrong.Type.Kind())
+	}
+	return "the body is not a JSON object: " + err.Error()
+}
+
 func readBody(body io.Reader) ([]byte, error) {
 	raw, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
 	if err != nil {
--- a/internal/version/coordinator/codec.go
+++ b/internal/version/coordinator/codec.go
@@ -137,6 +137,12 @@
 	return recordOf(w), nil
 }
 
+// CommittedVersion returns the version of the map that a row commits.
+func CommittedVersion(row Row) (identifier.MapVersion, error) {
+	record, err := decodeRecord(row)
+	return record.Committed.Version, err
+}
+
 func encodeRow(r switcher.Row) *wireRow {
 	return &wireRow{Version: r.Version, Record: wireOf(r.Record)}
 }
--- a/internal/version/coordinator/coordinator.go
+++ b/internal/version/coordinator/coordinator.go
@@ -382,6 +382,9 @@
 	var refused *driver.RefusedOrderError
 	switch {
 	case err == nil:
+		if p, ok := o.(driver.PrepareMap); ok {
+			c.cfg.Log.Event(logger.EventMapPrepared).Str("group", string(c.cfg.Group)).Uint64("version", uint64(p.Version)).Send()
+		}
 	case errors.As(err, &stale), errors.As(err, &refused):
 		result = switcher.OrderRefused
 		c.cfg.Log.Event(logger.EventOrderRefused).Str("group", string(c.cfg.Group)).AnErr("cause", err).Send()
