Let the senders of demand sleep while nothing changes

Cause: each link of an entry to an agent woke a goroutine every 10 ms, also with no request in the queue, so the idle processor time of an entry grew with its links. Ruled out: a longer tick, because requests that wait must widen their search within milliseconds. The tick of the dispatcher already wakes all senders every 10 ms while a request waits. Change: senders wait for a change of the queue only; a sender that finds a credit of another one wakes that one. A test over real links guards the widening and the return of credits.

--- /dev/null
+++ b/internal/request/streamer/attend_test.go
@@ -0,0 +1,147 @@
+package streamer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/authenticator"
+	"currantledge.example/currantledge/internal/connection/dialer"
+	"currantledge.example/currantledge/internal/connection/linker"
+	"currantledge.example/currantledge/internal/connection/listener"
+	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/connection/pooler"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/router"
+	"currantledge.example/currantledge/internal/request/streamer"
+)
+
+const attendTimeout = 10 * time.Second
+
+// fakeAgent is the other end of a link, which takes demand and returned credits.
+type fakeAgent struct {
+	link    chan *linker.Link
+	demand  chan messenger.Demand
+	returns chan messenger.ReturnGrant
+}
+
+func linkConfig(t *testing.T, authority authenticator.Pair, hello messenger.Hello) linker.Config {
+	t.Helper()
+	pair, err := authenticator.Issue(authority, authenticator.Identity{Node: hello.Node, Role: hello.Role}, time.Now())
+	require.NoError(t, err)
+	credentials, err := authenticator.New(authority.Certificate, pair)
+	require.NoError(t, err)
+	return linker.Config{
+		Credentials: credentials,
+		Hello:       func() messenger.Hello { return hello },
+		Heartbeat:   func() messenger.Heartbeat { return messenger.Heartbeat{} },
+	}
+}
+
+// newFakeAgent listens on a free port of loopback.
+func newFakeAgent(ctx context.Context, t *testing.T, authority authenticator.Pair, upstream identifier.Upstream) (*fakeAgent, string) {
+	t.Helper()
+	free, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.LocalAddr().String()
+	require.NoError(t, free.Close())
+	a := &fakeAgent{
+		link: make(chan *linker.Link, 1), demand: make(chan messenger.Demand, 64), returns: make(chan messenger.ReturnGrant, 64),
+	}
+	hello := messenger.Hello{Node: identifier.Node("agent-" + upstream), Role: identifier.RoleAgent, Upstream: upstream}
+	l, err := listener.New(listener.Config{
+		Address: address, Log: logger.Discard(), Link: linkConfig(t, authority, hello),
+		Serve: func(ctx context.Context, link *linker.Link) error {
+			a.link <- link
+			return link.Run(ctx, a.handle)
+		},
+	})
+	require.NoError(t, err)
+	go func() { _ = l.Run(ctx) }()
+	return a, address
+}
+
+func (a *fakeAgent) handle(m messenger.Message) {
+	switch m := m.(type) {
+	case messenger.Demand:
+		a.demand <- m
+	case messenger.ReturnGrant:
+		a.returns <- m
+	}
+}
+
+// await waits until the entry reports a waiting request, and returns the link to grant a credit over.
+func (a *fakeAgent) await(ctx context.Context, t *testing.T) *linker.Link {
+	t.Helper()
+	for {
+		select {
+		case d := <-a.demand:
+			if len(d.Customers) > 0 && d.Customers[0].Waiting > 0 {
+				return <-a.link
+			}
+		case <-ctx.Done():
+			require.Fail(t, "no demand")
+		}
+	}
+}
+
+// Guards against senders that sleep while a request widens its search, and against a credit that no request needs and
+// that stays at the entry until it expires.
+func TestSendersWakeWithoutTicker(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), attendTimeout)
+	defer cancel()
+	authority, err := authenticator.NewAuthority(time.Now())
+	require.NoError(t, err)
+	first, firstAddress := newFakeAgent(ctx, t, authority, "u1")
+	second, secondAddress := newFakeAgent(ctx, t, authority, "u2")
+	pool := pooler.New()
+	d := streamer.New(streamer.Config{
+		Pool: pool, Log: logger.Discard(),
+		Candidates: func(messenger.Target) []router.Candidate {
+			return []router.Candidate{{Upstream: "u1", Limit: 8}, {Upstream: "u2", Limit: 8}}
+		},
+		Suspect: func(identifier.Digest) int { return 0 }, Crashed: func(identifier.Digest) {},
+	})
+	go func() { _ = d.Run(ctx) }()
+	attended := make(chan struct{}, 2)
+	dial := dialer.New(dialer.Config{
+		Log: logger.Discard(), Listen: "127.0.0.1:0",
+		Link: linkConfig(t, authority, messenger.Hello{Node: "entry-1", Role: identifier.RoleEntry}),
+		Serve: func(ctx context.Context, link *linker.Link) error {
+			pool.Add(link)
+			go d.Attend(ctx, link)
+			attended <- struct{}{}
+			return link.Run(ctx, func(m messenger.Message) {
+				if g, ok := m.(messenger.Grant); ok {
+					d.Granted(link.Peer().Upstream, g)
+				}
+			})
+		},
+	})
+	dial.Want(ctx, []string{firstAddress, secondAddress})
+	<-attended
+	<-attended
+	go func() {
+		_ = d.Serve(ctx, streamer.Call{
+			Request: identifier.NewRequest(), Customer: "a", Idempotent: true,
+			Target:    messenger.Target{Kind: messenger.TargetModel, Model: "m"},
+			WaitUntil: time.Now().Add(attendTimeout), Deadline: time.Now().Add(attendTimeout),
+		}, nil)
+	}()
+	for i, link := range []*linker.Link{first.await(ctx, t), second.await(ctx, t)} {
+		require.NoError(t, link.Send(messenger.Grant{
+			Incarnation: 1, Serial: identifier.Serial(i + 1), Customer: "a", Credits: 1, Lifetime: time.Minute,
+		}))
+	}
+	select {
+	case <-first.returns:
+	case <-second.returns:
+	case <-ctx.Done():
+		require.Fail(t, "the credit that was not needed did not come back")
+	}
+}
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -458,14 +458,20 @@
 // notify wakes all senders. The caller holds the lock.
 func (d *Dispatcher) notify() {
 	for _, s := range d.senders {
-		select {
-		case s.dirty <- struct{}{}:
-		default:
-		}
+		s.wake()
+	}
+}
+
+func (s *sender) wake() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
 	}
 }
 
-// Attend sends demand over a link until it is down or ctx ends.
+// Attend sends demand over a link until it is down or ctx ends. It sleeps while nothing changes: each change of the queue
+// wakes all senders, and so does Run at each tick while requests wait. A ticker for each link took most of the processor
+// time of an idle entry.
 func (d *Dispatcher) Attend(ctx context.Context, link *linker.Link) {
 	upstream := link.Peer().Upstream
 	s := &sender{dirty: make(chan struct{}, 1)}
@@ -473,8 +479,6 @@
 	d.senders[upstream] = s
 	d.mu.Unlock()
 	defer d.dismiss(upstream, s)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -482,7 +486,6 @@
 		case <-link.Done():
 			return
 		case <-s.dirty:
-		case <-ticker.C:
 		}
 		for _, m := range d.outgoing(upstream, s) {
 			if err := link.Send(m); err != nil {
@@ -516,6 +519,7 @@
 	for _, r := range d.queue.Surplus() {
 		if other, ok := d.senders[r.Upstream]; ok {
 			other.returns = append(other.returns, r.Return)
+			other.wake()
 		}
 	}
 	for _, r := range s.returns {
