--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -502,7 +502,16 @@
 	}
 }
 
-// Attend sends demand over a link until it is down or ctx ends.
+func (s *sender) wake() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Attend sends demand over a link until it is down or ctx ends. It sleeps while nothing changes: each change of the queue
+// wakes all senders, and so does Run at each tick while requests wait. A ticker for each link took most of the processor
+// time of an idle entry.
 func (d *Dispatcher) Attend(ctx context.Context, link *linker.Link) {
 	upstream := link.Peer().Upstream
 	s := &sender{dirty: make(chan struct{}, 1)}
