Test that the listener keeps out strangers by itself

Cause: TestOnlyTheFleetsNodesLink passed with a listener that accepts certificates of any authority. Its only stranger trusted its own authority, so the stranger refused the fleet's listener before the listener could refuse the stranger.

Ruled out: a second check behind the listener. With ClientAuth set to RequireAnyClientCert and Peer reading unverified certificates, a stranger that trusts the fleet's authority certificate linked as entry-1.

Change: the table gains a stranger that trusts the fleet's authority, and a node of the fleet that trusts another one.

--- a/internal/connection/listener/listener_test.go
+++ b/internal/connection/listener/listener_test.go
@@ -24,10 +24,17 @@
 }
 
 func config(t *testing.T, from authenticator.Pair, certified, greeted authenticator.Identity) linker.Config {
+	t.Helper()
+	return trusting(t, from, from, certified, greeted)
+}
+
+// trusting returns the configuration of a node that accepts the certificates of one authority and has its own from
+// another.
+func trusting(t *testing.T, trusted, from authenticator.Pair, certified, greeted authenticator.Identity) linker.Config {
 	t.Helper()
 	pair, err := authenticator.Issue(from, certified, time.Now())
 	require.NoError(t, err)
-	credentials, err := authenticator.New(from.Certificate, pair)
+	credentials, err := authenticator.New(trusted.Certificate, pair)
 	require.NoError(t, err)
 	return linker.Config{
 		Credentials: credentials,
@@ -36,7 +43,9 @@
 	}
 }
 
-// Guards against processes that link to the fleet without its keys, or under another name or role than their key's.
+// Guards against processes that link to the fleet without its keys, or under another name or role than their key's. The
+// fleet's authority certificate is no secret: a stranger that trusts it would itself accept the fleet's listener, so only
+// the listener's check of client certificates keeps it out. The other way round, a node must not link to a stranger.
 func TestOnlyTheFleetsNodesLink(t *testing.T) {
 	t.Parallel()
 	fleet, stranger := authority(t), authority(t)
@@ -44,19 +53,21 @@
 	agent := authenticator.Identity{Node: "agent-1", Role: identifier.RoleAgent}
 	tests := []struct {
 		name               string
-		from               authenticator.Pair
+		trusted, from      authenticator.Pair
 		certified, greeted authenticator.Identity
 		links              bool
 	}{
-		{"node of the fleet", fleet, entry, entry, true},
-		{"key of another authority", stranger, entry, entry, false},
-		{"another node's name", fleet, agent, authenticator.Identity{Node: "agent-2", Role: identifier.RoleAgent}, false},
-		{"another role", fleet, agent, authenticator.Identity{Node: "agent-1", Role: identifier.RoleEntry}, false},
+		{"node of the fleet", fleet, fleet, entry, entry, true},
+		{"key of another authority", stranger, stranger, entry, entry, false},
+		{"key of another authority, trusting the fleet's", fleet, stranger, entry, entry, false},
+		{"node of the fleet, trusting another authority", stranger, fleet, entry, entry, false},
+		{"another node's name", fleet, fleet, agent, authenticator.Identity{Node: "agent-2", Role: identifier.RoleAgent}, false},
+		{"another role", fleet, fleet, agent, authenticator.Identity{Node: "agent-1", Role: identifier.RoleEntry}, false},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			address := []string{"127.0.0.1:20901", "127.0.0.1:20902", "127.0.0.1:20903", "127.0.0.1:20904"}[i]
+			address := []string{"127.0.0.1:20901", "127.0.0.1:20902", "127.0.0.1:20903", "127.0.0.1:20904", "127.0.0.1:20906", "127.0.0.1:20907"}[i]
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			served := make(chan *linker.Link, 1)
@@ -70,7 +81,7 @@
 			require.NoError(t, err)
 			go func() { _ = l.Run(ctx) }()
 			d := dialer.New(dialer.Config{
-				Log: logger.Discard(), Listen: "127.0.0.1:0", Link: config(t, test.from, test.certified, test.greeted),
+				Log: logger.Discard(), Listen: "127.0.0.1:0", Link: trusting(t, test.trusted, test.from, test.certified, test.greeted),
 				Serve: func(ctx context.Context, _ *linker.Link) error {
 					<-ctx.Done()
 					return nil
