Test that a stopping agent lets its streams end

Cause: TestGracefulShutdownCutsNothing checked only that every stream is complete. A stream that a stopping agent cuts resumes on another engine and is complete as well, so an agent that stops at once went unnoticed.

Ruled out: an entry that stops at once; the old check notices it (complete=8 cut=4 of 12).

Change: the test also checks that no request ran at two engines.

--- a/internal/prover/verifier/change_test.go
+++ b/internal/prover/verifier/change_test.go
@@ -94,7 +94,8 @@
 	s.requireNoNewWork(leaving, left.Add(spread), time.Now())
 }
 
-// Guards against planned stops that cut streams: an entry and an agent stop in mid-stream.
+// Guards against planned stops that cut streams: an entry and an agent stop in mid-stream. A stream that an agent cuts
+// resumes elsewhere and is still complete, so each must also have run once.
 func TestGracefulShutdownCutsNothing(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, smallPlan())
@@ -104,4 +105,5 @@
 	s.load.Go(func() { require.NoError(t, s.Entries[0].Process.Stop(s.ctx)) })
 	summary := s.verdicts()
 	require.Equal(t, 12, summary.Complete, summary)
+	s.requireRunsOnce()
 }
