--- a/internal/prover/verifier/site_test.go
+++ b/internal/prover/verifier/site_test.go
@@ -49,6 +49,8 @@
 	ctx    context.Context
 	log    *recorder.Log
 	caller *recorder.Caller
+	// folder holds the files of the deployment, among them its keys.
+	folder string
 	load   sync.WaitGroup
 }
 
@@ -64,7 +66,7 @@
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	log := &recorder.Log{}
-	s := &site{Deployment: d, t: t, ctx: ctx, log: log, caller: recorder.NewCaller(log)}
+	s := &site{Deployment: d, t: t, ctx: ctx, log: log, caller: recorder.NewCaller(log), folder: l.Folder()}
 	t.Cleanup(s.caller.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
