Wait for the records of stand-ins that fell over

Ruled out: a fault of the product; all callers had been answered. Change: the records are read again for up to 5 s. Conclusion: a fault of the harness.

--- a/internal/prover/matrixrunner/check.go
+++ b/internal/prover/matrixrunner/check.go
@@ -16,13 +16,15 @@
 	// catchUpPeriod is the time in which a process that was cut off or frozen catches up.
 	catchUpPeriod = 3 * time.Second
 	maxProblems   = 12
+	// fallPeriod is longer than the 2 s in which a stand-in that fell over does not answer.
+	fallPeriod = 5 * time.Second
 )
 
 // check checks all guarantees after the load has ended.
 func (t *trial) check(ctx context.Context) {
 	t.checkRevisions(ctx)
 	t.checkConflicts()
-	records, err := recorder.Collect(ctx, recorder.SourcesOf(t.Deployment))
+	records, err := t.collect(ctx)
 	if err != nil {
 		t.fail("%v", err)
 		return
@@ -44,6 +46,17 @@
 	}
 }
 
+// collect reads the records of all stand-ins. One that fell over does not answer for a while.
+func (t *trial) collect(ctx context.Context) ([]recorder.SourceRecord, error) {
+	deadline := time.Now().Add(fallPeriod)
+	for {
+		records, err := recorder.Collect(ctx, recorder.SourcesOf(t.Deployment))
+		if err == nil || time.Now().After(deadline) || !pause(ctx, monitorInterval) {
+			return records, err
+		}
+	}
+}
+
 // crashedRequests returns the requests that ran on an upstream when it fell over.
 func crashedRequests(records []recorder.SourceRecord) map[string]bool {
 	crashed := map[string]bool{}
--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -191,7 +191,7 @@
 func (t *trial) awaitCall(ctx context.Context, wanted func(*launcher.Agent, simulator.Call) bool) error {
 	deadline := time.Now().Add(reachPeriod)
 	for time.Now().Before(deadline) {
-		records, err := recorder.Collect(ctx, recorder.SourcesOf(t.Deployment))
+		records, err := t.collect(ctx)
 		if err != nil {
 			return err
 		}
