--- a/internal/request/streamer/attend_test.go
+++ b/internal/request/streamer/attend_test.go
@@ -105,7 +105,7 @@
 		Candidates: func(messenger.Target) []router.Candidate {
 			return []router.Candidate{{Upstream: "u1", Limit: 8}, {Upstream: "u2", Limit: 8}}
 		},
-		Suspect: func(identifier.Digest) int { return 0 }, Crashed: func(identifier.Digest) {},
+		Suspect: func(identifier.Digest) int { return 0 }, Crashed: func(identifier.Digest, identifier.Crash) {},
 	})
 	go func() { _ = d.Run(ctx) }()
 	attended := make(chan struct{}, 2)
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -502,13 +502,6 @@
 	}
 }
 
-func (s *sender) wake() {
-	select {
-	case s.dirty <- struct{}{}:
-	default:
-	}
-}
-
 // Attend sends demand over a link until it is down or ctx ends. It sleeps while nothing changes: each change of the queue
 // wakes all senders, and so does Run at each tick while requests wait. A ticker for each link took most of the processor
 // time of an idle entry.
@@ -520,7 +513,6 @@
 	d.mu.Unlock()
 	defer d.dismiss(upstream, s)
 	for {
-		// While requests wait, Run wakes all senders at each tick.
 		select {
 		case <-ctx.Done():
 			return
