Show in status whether an upstream serves

Cause: the status table showed a drained upstream as live with its limit, and a dead engine looked healthy. Ruled out: a state of its own in the membership; the agent is alive. Conclusion: operators see why an upstream gets no work.

--- a/internal/process/commander/remote.go
+++ b/internal/process/commander/remote.go
@@ -337,7 +337,27 @@
 	Reason        string
 	Revision      uint64
 	AgeMs         int64
-	Load          *struct{ Running, Limit, Waiting int }
+	Load          *wireLoad
+}
+
+// wireLoad is the load of a linked upstream.
+type wireLoad struct {
+	Running, Limit, Waiting int
+	Draining, Ready         bool
+}
+
+// serving tells whether the upstream takes new requests.
+func (l *wireLoad) serving() string {
+	switch {
+	case l == nil:
+		return "-"
+	case !l.Ready:
+		return "notAnswering"
+	case l.Draining:
+		return "draining"
+	default:
+		return "yes"
+	}
 }
 
 // Execute prints one line for each node.
@@ -358,14 +378,14 @@
 		return errors.Wrap(err, "the entry's answer cannot be read; use a command of the entry's version")
 	}
 	table := tabwriter.NewWriter(c.d.Output, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "NODE\tROLE\tFAILURE DOMAIN\tSTATE\tREVISION\tHEARD\tRUNNING\tLIMIT\tWAITING\tREASON")
+	fmt.Fprintln(table, "NODE\tROLE\tFAILURE DOMAIN\tSTATE\tSERVING\tREVISION\tHEARD\tRUNNING\tLIMIT\tWAITING\tREASON")
 	for _, n := range status.Nodes {
 		running, limit, waiting := "-", "-", "-"
 		if n.Load != nil {
 			running, limit, waiting = strconv.Itoa(n.Load.Running), strconv.Itoa(n.Load.Limit), strconv.Itoa(n.Load.Waiting)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", n.Node, n.Role, n.FailureDomain, n.State, n.Revision,
-			time.Duration(n.AgeMs)*time.Millisecond, running, limit, waiting, n.Reason)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", n.Node, n.Role, n.FailureDomain, n.State,
+			n.Load.serving(), n.Revision, time.Duration(n.AgeMs)*time.Millisecond, running, limit, waiting, n.Reason)
 	}
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write the status")
