Learn the usual first token from a warm upstream; scope idempotency keys by customer

A plain service received the caller's raw Idempotency-Key, so that a service which replays by key would show one customer the answer of another; the stand-in counted a second execution of the key. Ruled out: a lower factor, which would cool upstreams on ordinary variation; keys refused across customers, which would tell one customer of another's. TestSlowStartAndCooling completes four more calls before its check, because the first four no longer count. Before and after: TestColdSoonAfterSlowStartIsNoticed fails with the old rule and passes with the new one; TestSameKeyOfTwoCustomers now requires execution 1 for each customer and passes. Conclusion: both are fixed.

--- a/internal/connection/granter/granter_test.go
+++ b/internal/connection/granter/granter_test.go
@@ -96,7 +96,7 @@
 		g.FirstToken(now, identifier.Request{1}, 10*time.Millisecond)
 		g.Finish(now, identifier.Request{1}, true)
 	}
-	for _, want := range []identifier.Credits{2, 4, 6, 8, 10, 10, 10, 10, 10} {
+	for _, want := range []identifier.Credits{2, 4, 6, 8, 10, 10, 10, 10, 10, 10, 10, 10, 10} {
 		require.Equal(t, want, g.Load().Limit)
 		complete()
 		now = now.Add(10 * time.Second)
@@ -477,3 +477,28 @@
 		})
 	})
 }
+
+// Guards against a slow start whose own slow first tokens hide that the upstream turns cold again soon after.
+func TestColdSoonAfterSlowStartIsNoticed(t *testing.T) {
+	t.Parallel()
+	g := granter.New(granter.Config{Incarnation: incarnation, Limits: granter.Limits{Cold: 2, Warm: 10, WarmAfter: 20}})
+	now := start
+	run := func(firstToken time.Duration) {
+		now = now.Add(10 * time.Second)
+		issues := g.Demand(now, "e", waiting("c", 1))
+		require.NotEmpty(t, issues)
+		require.Empty(t, g.Admit(now, "e", admission(issues[0], 1)))
+		g.Demand(now, "e", waiting("c", 0))
+		g.FirstToken(now, identifier.Request{1}, firstToken)
+		g.Finish(now, identifier.Request{1}, true)
+	}
+	for range 20 {
+		run(300 * time.Millisecond)
+	}
+	for range 8 {
+		run(20 * time.Millisecond)
+	}
+	require.Equal(t, identifier.Credits(10), g.Load().Limit)
+	run(300 * time.Millisecond)
+	require.Less(t, g.Load().Limit, identifier.Credits(10))
+}
--- a/internal/connection/granter/warmer.go
+++ b/internal/connection/granter/warmer.go
@@ -69,24 +69,29 @@
 	w.completions = 0
 	w.lastAt = now
 	w.reason = reason
+	w.samples = 0
+	w.smoothed = 0
 }
 
 func (w *warmer) idle(now time.Time) bool {
 	return w.completions > 0 && now.Sub(w.lastAt) >= w.idleCold
 }
 
-// firstToken adds a sample and reports whether it shows a cold upstream. The sample is bounded by the slow factor, so
-// that one outlier cannot hide the next.
+// firstToken adds a sample and reports whether it shows a cold upstream. Only samples of a warm upstream make the usual
+// time: those of the slow start are slow themselves and would hide that an upstream turned cold again soon after.
 func (w *warmer) firstToken(after time.Duration, running int) bool {
+	if w.completions < w.limits.WarmAfter {
+		return false
+	}
 	threshold := max(w.smoothed*slowFactor, minSlowFirstToken)
-	slow := w.samples >= minSamples &&
-		after > threshold &&
-		identifier.Credits(running) < w.limit()
+	if w.samples >= minSamples && after > threshold && identifier.Credits(running) < w.limit() {
+		return true
+	}
 	if w.samples == 0 {
 		w.smoothed = after
 	} else {
 		w.smoothed += (min(after, threshold) - w.smoothed) / smoothing
 	}
 	w.samples++
-	return slow
+	return false
 }
--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -165,7 +166,7 @@
 	}
 	d := r.dispatch
 	return service.Call(ctx, driver.Call{
-		Request: d.Request, Method: d.Method, Path: d.Path, Headers: d.Headers, Body: d.Body, Key: d.Key,
+		Request: d.Request, Method: d.Method, Path: d.Path, Headers: d.Headers, Body: d.Body, Key: scopedKey(d),
 	}, func(status int, headers []messenger.Header) error {
 		r.status, r.headers = status, headers
 		r.buffer.SetHead(messenger.Head{Request: d.Request, Customer: d.Customer, Status: status, Headers: headers})
@@ -291,6 +292,16 @@
 	}
 }
 
+// scopedKey returns the Idempotency-Key for the service. It is different for each customer, so that a service which
+// replays answers by key alone cannot give one customer the answer of another that chose the same key.
+func scopedKey(d messenger.Dispatch) identifier.Key {
+	if d.Key == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(fmt.Sprintf("%d:%s%s", len(d.Customer), d.Customer, d.Key)))
+	return identifier.Key(hex.EncodeToString(sum[:]))
+}
+
 // Salted returns the digest that stands for a customer at engines.
 func Salted(customer identifier.Customer) identifier.Digest {
 	sum := sha256.Sum256([]byte("engine:" + string(customer)))
--- a/internal/prover/verifier/isolation_test.go
+++ b/internal/prover/verifier/isolation_test.go
@@ -176,9 +176,13 @@
 	s.load.Wait()
 	for _, x := range s.log.Exchanges() {
 		require.Equal(t, http.StatusOK, x.Status, "%s of %s: %s", x.Service.Path, x.Customer(), x.Body)
-		var answer struct{ Path string }
+		var answer struct {
+			Path      string
+			Execution int
+		}
 		require.NoError(t, json.Unmarshal(x.Body, &answer))
 		require.Equal(t, x.Service.Path, answer.Path, "answer to %s", x.Customer())
+		require.Equal(t, 1, answer.Execution, "the service has seen the key of %s from another customer", x.Customer())
 	}
 }
 
