Keep an eighth of the limit for customers below their share

Ruled out: preemption, which cuts streams; faster widening of the search, which helps only where a slot is free. Change: while several customers are active, the last eighth of an upstream's limit, at least one slot and none below a limit of 4, goes only to customers that hold less than their share.

--- a/internal/connection/granter/granter.go
+++ b/internal/connection/granter/granter.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -190,6 +191,12 @@
 	g.revokeExcess()
 }
 
+// Reserved returns the credits that are kept for customers below their share.
+func (g *Granter) Reserved(now time.Time) identifier.Credits {
+	kept, _ := g.sharer.reserve(now, g.warmer.limit())
+	return kept
+}
+
 // Tick expires grants, applies the idle rule and grants what became free. It is called at least every 100 ms, since
 // expired credits of waiting customers are granted anew by it.
 func (g *Granter) Tick(now time.Time) []Issue {
@@ -232,8 +239,13 @@
 func (g *Granter) grantWaiting(now time.Time) []Issue {
 	var order []*line
 	credits := map[*line]identifier.Credits{}
+	kept, entitled := g.sharer.reserve(now, g.warmer.limit())
 	for g.free() > 0 || g.revokeStanding() {
-		chosen := g.sharer.choose(now)
+		bound := math.Inf(1)
+		if g.free() <= kept {
+			bound = entitled
+		}
+		chosen := g.sharer.choose(now, bound)
 		if chosen == nil {
 			break
 		}
--- a/internal/connection/granter/sharer.go
+++ b/internal/connection/granter/sharer.go
@@ -22,6 +22,13 @@
 	standingWindow = 5 * time.Second
 	// negligibleService is the recorded service below which an idle customer is forgotten.
 	negligibleService = 0.01
+	// activeWindow is how long after its last demand a customer has a part of the reserve.
+	activeWindow = 10 * time.Second
+	// reservePart is the part of the limit that is kept for customers below their share while several are active, so
+	// that their requests do not wait for one of a heavy customer to end. A smaller limit than minReserveLimit has no
+	// reserve, since one slot is too large a part of it.
+	reservePart     = 0.125
+	minReserveLimit = 4
 )
 
 // line is the queue of one customer at one entry, as far as the agent knows it.
@@ -53,6 +60,8 @@
 	service float64
 	asOf    time.Time
 	running int
+	// seenAt is the time of the last demand or admission.
+	seenAt time.Time
 	// lastEntry received the customer's last credit; the next credit goes to an entry after it.
 	lastEntry identifier.Node
 	lastTurn  uint64
@@ -158,9 +167,31 @@
 	}
 	if waiting > 0 {
 		l.lastAt = now
+		a.seenAt = now
 	}
 }
 
+// activeWeight adds up the weights of the customers that asked or run requests lately, and counts them.
+func (s *sharer) activeWeight(now time.Time) (sum float64, customers int) {
+	for _, a := range s.accounts {
+		if a.running > 0 || now.Sub(a.seenAt) < activeWindow {
+			sum += s.weight(a.name)
+			customers++
+		}
+	}
+	return sum, customers
+}
+
+// reserve returns the credits that only customers below their share may take, and the credits that one unit of weight
+// is entitled to.
+func (s *sharer) reserve(now time.Time, limit identifier.Credits) (kept identifier.Credits, entitled float64) {
+	sum, customers := s.activeWeight(now)
+	if customers < 2 || limit < minReserveLimit {
+		return 0, math.Inf(1)
+	}
+	return max(1, identifier.Credits(float64(limit)*reservePart)), float64(limit) / sum
+}
+
 // activate bounds how far a customer whose requests did not wait is behind those that were served meanwhile.
 func (s *sharer) activate(now time.Time, a *account) {
 	a.decayTo(now)
@@ -173,6 +204,7 @@
 	a.decayTo(now)
 	a.service++
 	a.running++
+	a.seenAt = now
 	l := a.line(entry)
 	l.lastAt = now
 	l.settle(now, 1)
@@ -257,16 +289,17 @@
 	}
 }
 
-// choose returns the line that receives the next credit, or nil if no demand is uncovered. Unused credits count as
+// choose returns the line that receives the next credit, or nil if no demand is uncovered. Customers that hold what they
+// are entitled to by weight are passed over. Unused credits count as
 // service, so that the credits of one round are spread as well. Among equals the one that waited longest for a turn wins.
-func (s *sharer) choose(now time.Time) *line {
+func (s *sharer) choose(now time.Time, entitled float64) *line {
 	var best *account
 	var lowest, level float64
 	for _, a := range s.accounts {
-		if a.need() == 0 {
+		service, weight := decayed(a.service, a.asOf, now), s.weight(a.name)
+		if a.need() == 0 || float64(a.running+a.unused()) >= entitled*weight {
 			continue
 		}
-		service, weight := decayed(a.service, a.asOf, now), s.weight(a.name)
 		score := (service + float64(a.unused())) / weight
 		if best == nil || score < lowest || score == lowest && a.before(best) {
 			best, lowest, level = a, score, service/weight
