--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 
@@ -88,7 +90,7 @@
 			backoff = firstBackoff
 		}
 		d.cfg.Log.Event(event).Str("address", address).AnErr("cause", err).Send()
-		pause(ctx, backoff)
+		waiter.For(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -138,12 +140,3 @@
 	_ = t.Close()
 	_ = t.Conn.Close()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/authenticator"
@@ -175,7 +177,7 @@
 // tick renews grants and forgets answers whose retention has passed.
 func (a *Agent) tick(ctx context.Context) error {
 	swept := time.Now()
-	for wait(ctx, tickInterval) {
+	for waiter.For(ctx, tickInterval) {
 		a.admission.tick()
 		if now := time.Now(); now.Sub(swept) > sweepInterval {
 			a.answers.Sweep(now)
@@ -196,7 +198,7 @@
 	a.adopted()
 	a.log.Event(logger.EventStopping).Int("running", a.upstream.open()).Send()
 	for a.upstream.open() > 0 {
-		if !wait(partCtx, drainInterval) {
+		if !waiter.For(partCtx, drainInterval) {
 			return nil
 		}
 	}
@@ -225,18 +227,6 @@
 	}
 }
 
-// wait reports false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // adopted applies the configuration and the state of the process to admission and tells entries at once.
 func (a *Agent) adopted() {
 	snapshot := a.store.Snapshot()
--- a/internal/process/agentrunner/groups.go
+++ b/internal/process/agentrunner/groups.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/connection/dialer"
 	"currantledge.example/currantledge/internal/connection/driver"
 	"currantledge.example/currantledge/internal/connection/linker"
@@ -61,7 +63,7 @@
 	for ctx.Err() == nil {
 		p, ok := placeOf(m.agent.store.Snapshot(), m.agent.settings.Upstream)
 		if !ok {
-			wait(ctx, groupInterval)
+			waiter.For(ctx, groupInterval)
 			continue
 		}
 		if err := m.participate(ctx, p); err != nil {
@@ -115,7 +117,7 @@
 }
 
 func (m *member) watchPlace(ctx context.Context, p place) error {
-	for wait(ctx, groupInterval) {
+	for waiter.For(ctx, groupInterval) {
 		if now, ok := placeOf(m.agent.store.Snapshot(), m.agent.settings.Upstream); !ok || now != p {
 			return nil
 		}
@@ -127,13 +129,13 @@
 func (m *member) runLease(ctx context.Context, p place, lease *leaser.Leaser) error {
 	for ctx.Err() == nil {
 		if !candidate(m.agent.store.Snapshot(), p, m.agent.settings.Upstream) {
-			wait(ctx, groupInterval)
+			waiter.For(ctx, groupInterval)
 			continue
 		}
 		leaseCtx, cancel := context.WithCancel(ctx)
 		go func() {
 			defer cancel()
-			for candidate(m.agent.store.Snapshot(), p, m.agent.settings.Upstream) && wait(leaseCtx, groupInterval) {
+			for candidate(m.agent.store.Snapshot(), p, m.agent.settings.Upstream) && waiter.For(leaseCtx, groupInterval) {
 				continue
 			}
 		}()
@@ -183,7 +185,7 @@
 func (m *member) dial(ctx context.Context, p place, peers *dialer.Dialer) error {
 	for {
 		peers.Want(ctx, m.addresses(p))
-		if !wait(ctx, groupInterval) {
+		if !waiter.For(ctx, groupInterval) {
 			return nil
 		}
 	}
--- a/internal/process/agentrunner/inquire.go
+++ b/internal/process/agentrunner/inquire.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -29,7 +31,7 @@
 	for {
 		switch r := a.claims.Resolve(m.Customer, m.Key).(type) {
 		case claimer.Running:
-			if !wait(ctx, resolveInterval) {
+			if !waiter.For(ctx, resolveInterval) {
 				return
 			}
 		case claimer.Answered:
@@ -39,7 +41,7 @@
 			_ = stream.Send(messenger.Refused{Reason: messenger.ReasonWithdrawn, RetryAfter: retryAfter})
 			return
 		default:
-			if time.Since(started) < unresolvedWait && wait(ctx, resolveInterval) {
+			if time.Since(started) < unresolvedWait && waiter.For(ctx, resolveInterval) {
 				continue
 			}
 			_ = stream.Send(messenger.Broken{Reason: messenger.ReasonClaimUnresolved, MayHaveRun: true})
--- a/internal/process/agentrunner/links.go
+++ b/internal/process/agentrunner/links.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/connection/granter"
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
@@ -140,7 +142,7 @@
 
 // dialPeers asks the entries in the settings for the configuration while no entry has linked to this agent.
 func (a *Agent) dialPeers(ctx context.Context) error {
-	for wait(ctx, lonelyAfter) {
+	for waiter.For(ctx, lonelyAfter) {
 		var wanted []string
 		if a.links.count() == 0 {
 			wanted = a.settings.Peers
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/connection/driver"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -90,7 +92,7 @@
 func (u *upstream) watch(ctx context.Context) error {
 	for {
 		u.probe(ctx)
-		if !wait(ctx, reportInterval) {
+		if !waiter.For(ctx, reportInterval) {
 			return nil
 		}
 	}
--- a/internal/process/entryrunner/configuration.go
+++ b/internal/process/entryrunner/configuration.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
@@ -28,7 +30,7 @@
 		if err := e.refreshConfiguration(ctx); err != nil {
 			e.log.Event(logger.EventPlatformFailed).Str("operation", "loadConfiguration").AnErr("cause", err).Send()
 		}
-		if !wait(ctx, e.pollInterval()) {
+		if !waiter.For(ctx, e.pollInterval()) {
 			return nil
 		}
 	}
@@ -92,7 +94,7 @@
 		} else {
 			e.log.Event(logger.EventPlatformFailed).Str("operation", "listVMs").AnErr("cause", err).Send()
 		}
-		if !wait(ctx, listInterval) {
+		if !waiter.For(ctx, listInterval) {
 			return nil
 		}
 	}
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/authenticator"
@@ -202,29 +204,17 @@
 	}
 	e.stopping.Store(true)
 	e.log.Event(logger.EventStopping).Int("open", e.dispatcher.Open()).Send()
-	if !wait(partCtx, announceStop) {
+	if !waiter.For(partCtx, announceStop) {
 		return nil
 	}
 	for e.dispatcher.Open() > 0 {
-		if !wait(partCtx, drainInterval) {
+		if !waiter.For(partCtx, drainInterval) {
 			return nil
 		}
 	}
 	return nil
 }
 
-// wait reports false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (e *Entry) hello() messenger.Hello {
 	return messenger.Hello{
 		Node: e.settings.Node, Role: identifier.RoleEntry, FailureDomain: e.settings.FailureDomain,
--- a/internal/prover/bencher/configuration.go
+++ b/internal/prover/bencher/configuration.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -78,11 +80,11 @@
 				return nil, errors.CombineErrors(err, f.close(ctx))
 			}
 			changes = append(changes, c)
-			pause(ctx, changePause+time.Duration(random.Int64N(int64(changeJitter))))
+			waiter.For(ctx, changePause+time.Duration(random.Int64N(int64(changeJitter))))
 		}
 		runs = append(runs, changes)
 	}
-	pause(ctx, darkPeriod)
+	waiter.For(ctx, darkPeriod)
 	adopted, err := f.adoptions()
 	if err := errors.CombineErrors(err, f.close(ctx)); err != nil {
 		return nil, err
@@ -118,7 +120,7 @@
 	if err := f.Control(ctx, f.Platform, "/fault", map[string]any{"outage": "refuse"}); err != nil {
 		return c, err
 	}
-	pause(ctx, darkPeriod)
+	waiter.For(ctx, darkPeriod)
 	return c, f.Control(ctx, f.Platform, "/fault", map[string]any{})
 }
 
--- a/internal/prover/bencher/control.go
+++ b/internal/prover/bencher/control.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/process/meter"
@@ -48,11 +50,11 @@
 	if err != nil {
 		return nil, err
 	}
-	pause(ctx, controlSettle)
+	waiter.For(ctx, controlSettle)
 	var runs [][]sample
 	t := newTraffic(ctx, f)
 	for run := range b.cfg.Runs {
-		idle, err := f.watch(ctx, nodes, "idle", func() { pause(ctx, controlPeriod) })
+		idle, err := f.watch(ctx, nodes, "idle", func() { waiter.For(ctx, controlPeriod) })
 		if err != nil {
 			return nil, errors.CombineErrors(err, f.close(ctx))
 		}
--- a/internal/prover/bencher/domain.go
+++ b/internal/prover/bencher/domain.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
@@ -127,12 +129,12 @@
 // follow takes the failure domain out and returns it while a load runs.
 func follow(ctx context.Context, f *fleet, leaving string) (cycle, error) {
 	c := cycle{began: time.Now()}
-	pause(ctx, beforeLeave)
+	waiter.For(ctx, beforeLeave)
 	c.out = time.Now()
 	if err := f.SetFailureDomain(ctx, leaving, launcher.StateOut); err != nil {
 		return c, err
 	}
-	pause(ctx, time.Until(c.out.Add(outPeriod)))
+	waiter.For(ctx, time.Until(c.out.Add(outPeriod)))
 	c.in = time.Now()
 	return c, f.SetFailureDomain(ctx, leaving, launcher.StateIn)
 }
--- a/internal/prover/bencher/traffic.go
+++ b/internal/prover/bencher/traffic.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
 )
@@ -65,10 +67,10 @@
 	for number := 0; ; number++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		if next.After(end) {
-			pause(t.ctx, time.Until(end))
+			waiter.For(t.ctx, time.Until(end))
 			return
 		}
-		if !pause(t.ctx, time.Until(next)) {
+		if !waiter.For(t.ctx, time.Until(next)) {
 			return
 		}
 		tokens := m.minTokens + random.IntN(m.maxTokens-m.minTokens+1)
@@ -90,18 +92,6 @@
 	t.calls.Wait()
 }
 
-// pause reports false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // window holds the verdicts on the requests that were sent in a time.
 type window []recorder.Verdict
 
--- a/internal/prover/matrixrunner/check.go
+++ b/internal/prover/matrixrunner/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
 	"currantledge.example/currantledge/internal/standin/simulator"
@@ -51,7 +53,7 @@
 	deadline := time.Now().Add(fallPeriod)
 	for {
 		records, err := recorder.Collect(ctx, recorder.SourcesOf(t.Deployment))
-		if err == nil || time.Now().After(deadline) || !pause(ctx, monitorInterval) {
+		if err == nil || time.Now().After(deadline) || !waiter.For(ctx, monitorInterval) {
 			return records, err
 		}
 	}
@@ -150,7 +152,7 @@
 		if reached {
 			return
 		}
-		if time.Now().After(deadline.Add(healPeriod)) || !pause(ctx, monitorInterval) {
+		if time.Now().After(deadline.Add(healPeriod)) || !waiter.For(ctx, monitorInterval) {
 			t.fail("%s reports no revision", n.Name)
 			return
 		}
--- a/internal/prover/matrixrunner/faults.go
+++ b/internal/prover/matrixrunner/faults.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/interposer"
@@ -51,7 +53,7 @@
 	results := make([]error, len(t.cell.Faults))
 	var faults sync.WaitGroup
 	t.work.Go(func() {
-		pause(ctx, changeDelay)
+		waiter.For(ctx, changeDelay)
 		// While the platform fails, the change may be refused.
 		_, _ = t.changeCustomer(ctx, t.Entries[0], "")
 	})
@@ -109,13 +111,13 @@
 	case FaultCrashingRequest:
 		t.allowFalls(2)
 		t.load.crash(ctx)
-		pause(ctx, faultPeriod)
+		waiter.For(ctx, faultPeriod)
 		return nil
 	case FaultVMListLag:
 		return t.lagList(ctx)
 	case FaultCacheEvents:
 		// The engines of this row publish all events late and with gaps.
-		pause(ctx, outagePeriod)
+		waiter.For(ctx, outagePeriod)
 		return nil
 	case FaultStragglingRank:
 		return t.slowDown(ctx)
@@ -138,12 +140,12 @@
 	if t.cell.Step == StepFirstToken {
 		t.allowFalls(1)
 		err := t.Control(ctx, t.agent.Standin, "/control", map[string]any{"crash": true})
-		pause(ctx, killPeriod)
+		waiter.For(ctx, killPeriod)
 		return err
 	}
 	t.breakEntry(t.victim)
 	t.victim.Process.Kill()
-	pause(ctx, killPeriod)
+	waiter.For(ctx, killPeriod)
 	if err := t.restart(ctx, t.victim); err != nil {
 		return err
 	}
@@ -171,7 +173,7 @@
 	if err := t.victim.Process.Freeze(); err != nil {
 		return err
 	}
-	pause(ctx, freezePeriod)
+	waiter.For(ctx, freezePeriod)
 	// A frozen process must not outlive an interrupted run.
 	if err := t.victim.Process.Thaw(); err != nil {
 		return err
@@ -185,7 +187,7 @@
 	if err := t.setCut(t.victim, f); err != nil {
 		return err
 	}
-	pause(ctx, cutPeriod)
+	waiter.For(ctx, cutPeriod)
 	if err := t.setCut(t.victim, interposer.Faults{}); err != nil {
 		return err
 	}
@@ -225,7 +227,7 @@
 			}
 		}
 	}
-	pause(ctx, faultPeriod)
+	waiter.For(ctx, faultPeriod)
 	return nil
 }
 
@@ -237,7 +239,7 @@
 			}
 		}
 	}
-	pause(ctx, faultPeriod)
+	waiter.For(ctx, faultPeriod)
 	return nil
 }
 
@@ -247,7 +249,7 @@
 		if err := t.platformFault(ctx, platformFault{Outage: outage}); err != nil {
 			return err
 		}
-		pause(ctx, outagePeriod)
+		waiter.For(ctx, outagePeriod)
 	}
 	return t.platformFault(ctx, platformFault{})
 }
@@ -256,7 +258,7 @@
 	if err := t.platformFault(ctx, f); err != nil {
 		return err
 	}
-	pause(ctx, faultPeriod)
+	waiter.For(ctx, faultPeriod)
 	return t.platformFault(ctx, platformFault{})
 }
 
@@ -289,7 +291,7 @@
 		}
 	}
 	for range 4 {
-		pause(ctx, faultPeriod/4)
+		waiter.For(ctx, faultPeriod/4)
 		t.load.burst(ctx, coldBurst/2, coldTokens)
 	}
 	return nil
@@ -302,14 +304,14 @@
 	if err := t.ListVMs(ctx, absent, nil); err != nil {
 		return err
 	}
-	pause(ctx, outagePeriod)
+	waiter.For(ctx, outagePeriod)
 	if err := t.platformFault(ctx, platformFault{ListLagMillis: &lag}); err != nil {
 		return err
 	}
 	if err := t.ListVMs(ctx, nil, nil); err != nil {
 		return err
 	}
-	pause(ctx, faultPeriod)
+	waiter.For(ctx, faultPeriod)
 	return nil
 }
 
@@ -317,6 +319,6 @@
 	if err := t.Control(ctx, t.agent.Standin, "/control", map[string]any{"slowFactor": stragglerSlow}); err != nil {
 		return err
 	}
-	pause(ctx, faultPeriod)
+	waiter.For(ctx, faultPeriod)
 	return t.Control(ctx, t.agent.Standin, "/control", map[string]any{"slowFactor": 1})
 }
--- a/internal/prover/matrixrunner/load.go
+++ b/internal/prover/matrixrunner/load.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/prover/recorder"
 )
 
@@ -39,7 +41,7 @@
 	sending, cancel := context.WithCancel(ctx)
 	l.cancel = cancel
 	l.sender.Go(func() {
-		for pause(sending, loadInterval) {
+		for waiter.For(sending, loadInterval) {
 			l.send(ctx)
 		}
 	})
@@ -104,7 +106,7 @@
 		if e.Status == http.StatusOK && e.Failure == nil {
 			return
 		}
-		if !pause(ctx, resendPause) {
+		if !waiter.For(ctx, resendPause) {
 			return
 		}
 	}
@@ -127,7 +129,7 @@
 		l.calls.Go(func() {
 			for range maxSendings {
 				l.site.ask(ctx, e.CallersURL(), q)
-				if !pause(ctx, resendPause) {
+				if !waiter.For(ctx, resendPause) {
 					return
 				}
 			}
--- a/internal/prover/matrixrunner/maps.go
+++ b/internal/prover/matrixrunner/maps.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
@@ -52,7 +54,7 @@
 		before[a] = countLines(a, marks...)
 	}
 	deadline := time.Now().Add(mapPeriod)
-	for time.Now().Before(deadline) && pause(ctx, mapPause) {
+	for time.Now().Before(deadline) && waiter.For(ctx, mapPause) {
 		for _, a := range t.ranks() {
 			if countLines(a, marks...) > before[a] {
 				t.agent = a
@@ -77,7 +79,7 @@
 		return err
 	}
 	deadline := time.Now().Add(mapPeriod)
-	for time.Now().Before(deadline) && pause(ctx, mapPause) {
+	for time.Now().Before(deadline) && waiter.For(ctx, mapPause) {
 		prepared := 0
 		for _, a := range t.ranks() {
 			if isPrepared(ctx, a) {
--- a/internal/prover/matrixrunner/monitor.go
+++ b/internal/prover/matrixrunner/monitor.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
@@ -61,7 +63,7 @@
 }
 
 func (m *monitor) poll(ctx context.Context, n *launcher.Node, ask func(context.Context) (uint64, error)) {
-	for pause(ctx, monitorInterval) {
+	for waiter.For(ctx, monitorInterval) {
 		limited, cancel := context.WithTimeout(ctx, monitorPeriod)
 		pid := m.site.pid(n)
 		asked := time.Now()
--- a/internal/prover/matrixrunner/site.go
+++ b/internal/prover/matrixrunner/site.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
@@ -100,9 +102,9 @@
 		s.background.Go(func() { s.watchReadiness(running, e) })
 	}
 	s.background.Go(func() { s.monitor.run(running) })
-	pause(ctx, readyInterval+readyPeriod)
+	waiter.For(ctx, readyInterval+readyPeriod)
 	load := s.startLoad(ctx, newRandom(plan.Seed, "warm up"))
-	pause(ctx, warmUpPeriod)
+	waiter.For(ctx, warmUpPeriod)
 	load.end()
 	return s, nil
 }
@@ -123,18 +125,6 @@
 	return rand.New(rand.NewPCG(seed, hash.Sum64()))
 }
 
-// pause waits and tells whether the context is still valid.
-func pause(ctx context.Context, period time.Duration) bool {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // watchReadiness does what the platform's balancer does: callers are sent only to entries that say that they are ready.
 func (s *site) watchReadiness(ctx context.Context, e *launcher.Entry) {
 	client := &http.Client{Timeout: readyPeriod, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -143,7 +133,7 @@
 		s.mu.Lock()
 		s.ready[e] = ready
 		s.mu.Unlock()
-		if !pause(ctx, readyInterval) {
+		if !waiter.For(ctx, readyInterval) {
 			return
 		}
 	}
--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/interposer"
@@ -106,7 +108,7 @@
 		return err
 	}
 	t.reserveAll(ctx)
-	pause(ctx, claimDelay/2)
+	waiter.For(ctx, claimDelay/2)
 	return nil
 }
 
@@ -114,10 +116,10 @@
 	for _, a := range t.Agents {
 		t.Proxy(launcher.Link{Kind: launcher.LinkToAgent, Node: a.Name}).Set(interposer.Faults{Delay: linkDelay})
 	}
-	pause(ctx, linkDelay)
+	waiter.For(ctx, linkDelay)
 	t.load.burst(ctx, 2*focusCalls, maxTokens)
 	t.reserveAll(ctx)
-	pause(ctx, 2*linkDelay+linkDelay/2)
+	waiter.For(ctx, 2*linkDelay+linkDelay/2)
 	return nil
 }
 
@@ -165,7 +167,7 @@
 		for _, e := range t.Entries {
 			t.work.Go(func() {
 				for range maxSendings {
-					if !pause(ctx, resendPause) {
+					if !waiter.For(ctx, resendPause) {
 						return
 					}
 					t.call(ctx, t.choose(e), call)
@@ -204,7 +206,7 @@
 				}
 			}
 		}
-		if !pause(ctx, recordPause) {
+		if !waiter.For(ctx, recordPause) {
 			return errors.Wrap(ctx.Err(), "wait for a call")
 		}
 	}
@@ -260,7 +262,7 @@
 
 // awaitClosure waits until new work would show that comes later than it may.
 func (t *trial) awaitClosure(ctx context.Context) {
-	pause(ctx, closedPeriod+closureMargin)
+	waiter.For(ctx, closedPeriod+closureMargin)
 }
 
 func (t *trial) reachDomainBack(ctx context.Context) error {
@@ -282,7 +284,7 @@
 		return err
 	}
 	t.work.Go(func() { _, _ = t.changeCustomer(ctx, t.entry, "") })
-	pause(ctx, claimDelay/2)
+	waiter.For(ctx, claimDelay/2)
 	return nil
 }
 
@@ -301,7 +303,7 @@
 		question := t.question(streamTokens)
 		t.work.Go(func() { t.ask(ctx, t.entry.CallersURL(), question) })
 	}
-	pause(ctx, streamAge)
+	waiter.For(ctx, streamAge)
 	for _, n := range nodes {
 		if err := n.Process.Terminate(); err != nil {
 			return err
--- a/internal/prover/matrixrunner/trial.go
+++ b/internal/prover/matrixrunner/trial.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/prover/launcher"
@@ -104,7 +106,7 @@
 }
 
 func (t *trial) follow(ctx context.Context) error {
-	pause(ctx, leadPeriod)
+	waiter.For(ctx, leadPeriod)
 	if err := t.reach(ctx); err != nil {
 		return errors.Wrapf(err, "reach the step %s", t.cell.Step)
 	}
@@ -136,7 +138,7 @@
 		if failed == "" {
 			return
 		}
-		if time.Now().After(deadline) || !pause(ctx, probePause) {
+		if time.Now().After(deadline) || !waiter.For(ctx, probePause) {
 			t.fail("new requests do not complete %v after the fault: %s", healPeriod, failed)
 			return
 		}
--- a/internal/request/streamer/session.go
+++ b/internal/request/streamer/session.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"github.com/cespare/xxhash/v2"
 
 	"currantledge.example/currantledge/internal/connection/linker"
@@ -251,7 +253,7 @@
 			if s.attempt.offset > offset {
 				deadline = time.Now().Add(reattachTimeout)
 			}
-			pause(ctx, retryPause)
+			waiter.For(ctx, retryPause)
 		case resultRefused:
 			if s.attempt.started {
 				return resultBroken{reason: outcome.reason, mayHaveRun: true}
@@ -293,7 +295,7 @@
 		if _, lost := outcome.(resultLost); !lost {
 			return outcome
 		}
-		pause(waitCtx, retryPause)
+		waiter.For(waitCtx, retryPause)
 	}
 	if ctx.Err() != nil {
 		return resultGone{}
@@ -345,12 +347,3 @@
 	}
 	return refuser.Unknown(messenger.ReasonDeadline)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
+
 	"currantledge.example/currantledge/internal/standin/responder"
 )
 
@@ -111,7 +113,7 @@
 			awaitEnd(r.Context(), ended)
 			panic(http.ErrAbortHandler)
 		}
-		if !pause(r.Context(), time.Duration(fault.DelayMillis)*time.Millisecond) {
+		if !waiter.For(r.Context(), time.Duration(fault.DelayMillis)*time.Millisecond) {
 			panic(http.ErrAbortHandler)
 		}
 		handle(w, r)
@@ -159,17 +161,3 @@
 	case <-ended:
 	}
 }
-
-func pause(ctx context.Context, period time.Duration) bool {
-	if period <= 0 {
-		return true
-	}
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
