Answer resends of a broken call at once

Cause: a keyed call whose service died or whose time ran out stayed running in the claim, so that a caller that sent it again waited for the whole 60 s of its own request (found by reading the claim's states). Ruled out: giving the claim up, since the call may have run. Change: the agent records the problem with the outcome unknown as the answer of such a call; resends replay it. Conclusion: callers learn the truth in the time of a claim.

--- a/internal/process/agentrunner/run.go
+++ b/internal/process/agentrunner/run.go
@@ -195,6 +195,11 @@
 	if !r.tooLong {
 		return claimer.Answer{Status: r.status, Headers: r.headers, Body: r.body}
 	}
+	return r.unresolved()
+}
+
+// unresolved returns the answer to callers that send a call again which may have run and whose answer is not known.
+func (r *run) unresolved() claimer.Answer {
 	problem := refuser.Unknown(messenger.ReasonClaimUnresolved)
 	problem.Request = r.dispatch.Request
 	return claimer.Answer{
@@ -211,8 +216,10 @@
 	case errors.As(err, &notStarted):
 		r.release(notStarted)
 	case ctx.Err() != nil:
+		r.recordUnresolved()
 		r.buffer.Fail(messenger.ReasonDeadline, true)
 	default:
+		r.recordUnresolved()
 		r.fail()
 	}
 	r.agent.admission.finish(r.dispatch, err == nil)
@@ -229,6 +236,15 @@
 	r.buffer.Finish()
 }
 
+// recordUnresolved lets callers that send a broken call again learn at once that its outcome is unknown, instead of
+// waiting for an answer that never comes.
+func (r *run) recordUnresolved() {
+	if r.keyed() {
+		answer := r.unresolved()
+		r.agent.records.Go(func() { r.record(answer) })
+	}
+}
+
 func (r *run) record(answer claimer.Answer) {
 	if err := r.agent.claims.Record(context.Background(), r.call(), answer); err != nil {
 		r.agent.log.Event(logger.EventPlatformFailed).Str("operation", "recordAnswer").AnErr("cause", err).Send()
--- a/internal/prover/verifier/claim_test.go
+++ b/internal/prover/verifier/claim_test.go
@@ -67,3 +67,29 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// Guards against a caller that sends a call again whose service died in the middle, and then waits for an answer that
+// never comes; and against a second run of that call.
+func TestBrokenReservationIsUnknownAtOnce(t *testing.T) {
+	t.Parallel()
+	plan := smallPlan()
+	plan.Services[0].Runners = 1
+	plan.ServiceArgs = []string{"--latency", "2s", "--down", "500ms"}
+	s := newSite(t, plan)
+	call := s.reservation(0, 0)
+	s.load.Go(func() { s.caller.Call(s.ctx, s.Entries[0].CallersURL(), call) })
+	time.Sleep(700 * time.Millisecond)
+	for _, a := range s.Agents {
+		if a.Upstream.Service != "" {
+			require.NoError(t, s.Control(s.ctx, a.Standin, "/control", map[string]any{"crash": true}))
+		}
+	}
+	s.load.Wait()
+	time.Sleep(time.Second)
+	again := s.caller.Call(s.ctx, s.Entries[1].CallersURL(), call)
+	require.Contains(t, string(again.Body), `"outcome":"unknown"`)
+	require.Less(t, again.End.Sub(again.Start), 10*time.Second)
+	require.Eventually(t, func() bool { return s.enginesUp() }, 10*time.Second, 50*time.Millisecond)
+	summary := s.verdicts()
+	require.Equal(t, 2, summary.Unknown, summary)
+}
