Group the imports of waiter with the project's own

Cause: a scripted change had put the import in a group of its own. Ruled out: nothing. Change: import order only. Conclusion: the files read like the others.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -7,13 +7,12 @@
 	"sync"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/waiter"
 )
 
 const (
--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/authenticator"
@@ -27,6 +25,7 @@
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/process/supervisor"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/request/streamer"
 	"currantledge.example/currantledge/internal/version/configurer"
--- a/internal/process/agentrunner/groups.go
+++ b/internal/process/agentrunner/groups.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/connection/dialer"
 	"currantledge.example/currantledge/internal/connection/driver"
 	"currantledge.example/currantledge/internal/connection/linker"
@@ -16,6 +14,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/supervisor"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/version/configurer"
 	"currantledge.example/currantledge/internal/version/coordinator"
 	"currantledge.example/currantledge/internal/version/declarer"
--- a/internal/process/agentrunner/inquire.go
+++ b/internal/process/agentrunner/inquire.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/claimer"
 	"currantledge.example/currantledge/internal/request/streamer"
 )
--- a/internal/process/agentrunner/links.go
+++ b/internal/process/agentrunner/links.go
@@ -5,12 +5,11 @@
 	"sync"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/connection/granter"
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/waiter"
 )
 
 // links holds the newest link of each entry.
--- a/internal/process/agentrunner/upstream.go
+++ b/internal/process/agentrunner/upstream.go
@@ -6,12 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/connection/driver"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/waiter"
 )
 
 const (
--- a/internal/process/entryrunner/configuration.go
+++ b/internal/process/entryrunner/configuration.go
@@ -5,12 +5,11 @@
 	"math/rand/v2"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/registrar"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/router"
 	"currantledge.example/currantledge/internal/version/declarer"
 )
--- a/internal/prover/bencher/configuration.go
+++ b/internal/prover/bencher/configuration.go
@@ -10,12 +10,11 @@
 	"strings"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/launcher"
 )
 
--- a/internal/prover/bencher/control.go
+++ b/internal/prover/bencher/control.go
@@ -8,11 +8,10 @@
 	"net/http"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/launcher"
 )
 
--- a/internal/prover/bencher/traffic.go
+++ b/internal/prover/bencher/traffic.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
 )
--- a/internal/prover/matrixrunner/check.go
+++ b/internal/prover/matrixrunner/check.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
 	"currantledge.example/currantledge/internal/standin/simulator"
--- a/internal/prover/matrixrunner/load.go
+++ b/internal/prover/matrixrunner/load.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/prover/recorder"
 )
 
--- a/internal/prover/matrixrunner/maps.go
+++ b/internal/prover/matrixrunner/maps.go
@@ -7,10 +7,9 @@
 	"strings"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/launcher"
 )
 
--- a/internal/prover/matrixrunner/monitor.go
+++ b/internal/prover/matrixrunner/monitor.go
@@ -8,10 +8,9 @@
 	"sync"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/launcher"
 )
 
--- a/internal/prover/matrixrunner/steps.go
+++ b/internal/prover/matrixrunner/steps.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/interposer"
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/recorder"
--- a/internal/request/streamer/session.go
+++ b/internal/request/streamer/session.go
@@ -4,14 +4,13 @@
 	"context"
 	"time"
 
-	"currantledge.example/currantledge/internal/process/waiter"
-
 	"github.com/cespare/xxhash/v2"
 
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/refuser"
 )
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/waiter"
-
 	"currantledge.example/currantledge/internal/standin/responder"
 )
 
