Keep every link between two agents of a group

Cause: agents kept only the newest link to each other. Ruled out: a missing leader message, which is repeated until a rank has learned the row. Change: a set of links for each peer, of which the newest is used.

--- a/internal/process/agentrunner/groups.go
+++ b/internal/process/agentrunner/groups.go
@@ -10,6 +10,7 @@
 	"currantledge.example/currantledge/internal/connection/driver"
 	"currantledge.example/currantledge/internal/connection/linker"
 	"currantledge.example/currantledge/internal/connection/messenger"
+	"currantledge.example/currantledge/internal/connection/pooler"
 	"currantledge.example/currantledge/internal/process/adapter"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
@@ -44,17 +45,17 @@
 // member takes part in a model group.
 type member struct {
 	agent *Agent
+	links *pooler.Links
 
 	mu          sync.Mutex
 	coordinator *coordinator.Coordinator
 	lease       *leaser.Leaser
 	place       place
-	links       map[identifier.Upstream]*linker.Link
 	wanted      map[identifier.Upstream]time.Time
 }
 
 func newMember(a *Agent) *member {
-	return &member{agent: a, links: map[identifier.Upstream]*linker.Link{}, wanted: map[identifier.Upstream]time.Time{}}
+	return &member{agent: a, links: pooler.NewLinks(), wanted: map[identifier.Upstream]time.Time{}}
 }
 
 // run takes part in the group that the configuration names, and starts anew when it names another place.
@@ -221,10 +222,9 @@
 
 func (m *member) post(to identifier.Upstream, e messenger.GroupEvent) {
 	m.mu.Lock()
-	link := m.links[to]
 	m.wanted[to] = time.Now()
 	m.mu.Unlock()
-	if link != nil {
+	if link := m.links.Newest(to); link != nil {
 		link.Post(e)
 	}
 }
@@ -237,17 +237,11 @@
 }
 
 func (m *member) add(link *linker.Link) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.links[link.Peer().Upstream] = link
+	m.links.Add(link.Peer().Upstream, link)
 }
 
 func (m *member) remove(link *linker.Link) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[link.Peer().Upstream] == link {
-		delete(m.links, link.Peer().Upstream)
-	}
+	m.links.Remove(link.Peer().Upstream, link)
 }
 
 // receive takes a message of another agent of the group. Only agents whose upstream belongs to the group are heard.
