--- a/internal/process/agentrunner/agentrunner.go
+++ b/internal/process/agentrunner/agentrunner.go
@@ -43,8 +43,7 @@
 	// recordWait bounds the wait for the table to take the answers of keyed calls.
 	recordWait = 30 * time.Second
 	// lonelyAfter is when an agent without a link asks its peers for the configuration.
-	lonelyAfter   = 2 * time.Second
-	headerTimeout = 10 * time.Second
+	lonelyAfter = 2 * time.Second
 )
 
 // Config holds what an agent is built from.
@@ -71,6 +70,8 @@
 	peers       *dialer.Dialer
 	traffic     *linker.Traffic
 	stopping    atomic.Bool
+	// applying orders the changes of configuration and state, so that an older one is never applied last.
+	applying sync.Mutex
 	// records counts the writes of answers that are under way.
 	records sync.WaitGroup
 }
@@ -124,15 +125,7 @@
 	m.Gauge(meter.UpstreamRunning, func() int64 { return int64(a.admission.load().Running) })
 	m.Gauge(meter.UpstreamLimit, func() int64 { return int64(a.admission.load().Limit) })
 	m.Gauge(meter.CreditsGranted, func() int64 { return int64(a.admission.load().Granted) })
-	a.publishTraffic(m)
-}
-
-// publishTraffic sets the counters of the links.
-func (a *Agent) publishTraffic(m *meter.Meter) {
-	m.Gauge(meter.LinkBytesSent, a.traffic.Sent)
-	m.Gauge(meter.LinkBytesReceived, a.traffic.Received)
-	m.Gauge(meter.ControlBytesSent, a.traffic.ControlSent)
-	m.Gauge(meter.ControlBytesReceived, a.traffic.ControlReceived)
+	m.Links(a.traffic)
 }
 
 func (a *Agent) linkConfig() linker.Config {
@@ -158,11 +151,11 @@
 		group.Add(a.member.run)
 	}
 	if a.settings.Metrics != "" {
-		metrics, err := net.Listen("tcp", a.settings.Metrics)
+		l, err := net.Listen("tcp", a.settings.Metrics)
 		if err != nil {
 			return errors.Wrapf(err, "listen for metrics on %s; choose a free address", a.settings.Metrics)
 		}
-		group.Add(a.serveMetrics(metrics))
+		group.Add(supervisor.HTTP(l, a.metrics()))
 	}
 	group.Add(func(partCtx context.Context) error { return a.awaitStop(ctx, partCtx) })
 	a.log.Event(logger.EventStarted).Str("upstream", string(a.settings.Upstream)).Str("fleet", a.settings.Fleet).Send()
@@ -228,6 +221,8 @@
 
 // adopted applies the configuration and the state of the process to admission and tells entries at once.
 func (a *Agent) adopted() {
+	a.applying.Lock()
+	defer a.applying.Unlock()
 	snapshot := a.store.Snapshot()
 	u, declared := snapshot.Upstreams[a.settings.Upstream]
 	domain := snapshot.FailureDomains[a.settings.FailureDomain]
@@ -266,25 +261,17 @@
 	return messenger.Heartbeat{Revision: a.store.Revision(), Load: &load, Suspicions: a.admission.suspicions()}
 }
 
-// serveMetrics serves health and metrics.
-func (a *Agent) serveMetrics(l net.Listener) supervisor.Actor {
-	return func(ctx context.Context) error {
-		mux := http.NewServeMux()
-		mux.HandleFunc("/livez", func(http.ResponseWriter, *http.Request) {})
-		mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-			if a.stopping.Load() || a.store.Revision() == 0 || !a.upstream.ready.Load() {
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-		})
-		mux.Handle("/debug/vars", meter.Handler())
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve metrics")
+// metrics returns the handler of health and metrics.
+func (a *Agent) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/livez", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if a.stopping.Load() || a.store.Revision() == 0 || !a.upstream.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		return nil
-	}
+	})
+	mux.Handle("/debug/vars", meter.Handler())
+	return mux
 }
 
 // newDrivers returns the client of the upstream. One of the two is nil.
--- a/internal/process/entryrunner/entryrunner.go
+++ b/internal/process/entryrunner/entryrunner.go
@@ -38,7 +38,6 @@
 	// the entry out first.
 	announceStop  = 2 * time.Second
 	drainInterval = 50 * time.Millisecond
-	headerTimeout = 10 * time.Second
 )
 
 // Config holds what an entry is built from.
@@ -52,6 +51,7 @@
 	settings    loader.Entry
 	log         *logger.Logger
 	incarnation identifier.Incarnation
+	credentials *authenticator.Credentials
 	store       *configurer.Store
 	writer      *configurer.Writer
 	platform    *storer.Client
@@ -92,6 +92,7 @@
 			Count: metrics.Count,
 		}),
 		incarnation: identifier.NewIncarnation(time.Now()),
+		credentials: credentials,
 		store:       configurer.New(),
 		platform:    storer.New(storer.Config{BaseURL: s.Platform, Timeout: platformTimeout}),
 		nodes:       registrar.New(),
@@ -103,27 +104,19 @@
 	e.writer = configurer.NewWriter(configurer.WriterConfig{Table: adapter.Configuration(e.platform), Store: e.store})
 	e.distributor = distributor.New(distributor.Config{Store: e.store, Log: e.log})
 	e.dispatcher = streamer.New(streamer.Config{
-		Pool: e.pool, Log: e.log, Candidates: e.candidates, Suspect: e.suspects.crashes, Crashed: e.suspects.crashed,
+		Pool: e.pool, Log: e.log, Candidates: e.candidates, Verdict: e.suspects.verdict, Crashed: e.suspects.crashed,
 		Policy: policy(s.Routing),
 	})
-	link := linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat, Traffic: e.traffic}
+	link := e.linkConfig()
 	e.agents = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveAgent})
 	e.entries = dialer.New(dialer.Config{Link: link, Log: e.log, Listen: s.Fleet, Serve: e.serveEntry})
 	metrics.Gauge(meter.RequestsOpen, func() int64 { return int64(e.dispatcher.Open()) })
 	metrics.Gauge(meter.ConfigRevision, func() int64 { return int64(e.store.Revision()) })
-	e.publishTraffic(metrics)
+	metrics.Links(e.traffic)
 	e.http, err = newCallers(e)
 	return e, err
 }
 
-// publishTraffic sets the counters of the links.
-func (e *Entry) publishTraffic(m *meter.Meter) {
-	m.Gauge(meter.LinkBytesSent, e.traffic.Sent)
-	m.Gauge(meter.LinkBytesReceived, e.traffic.Received)
-	m.Gauge(meter.ControlBytesSent, e.traffic.ControlSent)
-	m.Gauge(meter.ControlBytesReceived, e.traffic.ControlReceived)
-}
-
 func policy(name loader.Routing) router.Policy {
 	switch name {
 	case loader.RoutingRoundRobin:
@@ -135,17 +128,17 @@
 	}
 }
 
+func (e *Entry) linkConfig() linker.Config {
+	return linker.Config{Credentials: e.credentials, Hello: e.hello, Heartbeat: e.heartbeat, Traffic: e.traffic}
+}
+
 func (e *Entry) run(ctx context.Context) error {
 	// Parts outlive the signal to stop until open requests have finished.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
-	credentials, err := authenticator.Load(authenticator.Paths(e.settings.Keys))
-	if err != nil {
-		return err
-	}
 	fleet, err := listener.New(listener.Config{
 		Address: e.settings.Fleet, Log: e.log, Serve: e.serveAccepted,
-		Link: linker.Config{Credentials: credentials, Hello: e.hello, Heartbeat: e.heartbeat, Traffic: e.traffic},
+		Link: e.linkConfig(),
 	})
 	if err != nil {
 		return err
@@ -169,7 +162,7 @@
 	group.Add(e.pollConfiguration)
 	group.Add(e.pollMachines)
 	group.Add(e.gossip)
-	group.Add(serveHTTP(callers, e.http))
+	group.Add(supervisor.HTTP(callers, e.http))
 	group.Add(operatorAPI.Run)
 	group.Add(e.watchConfiguration)
 	group.Add(func(partCtx context.Context) error { return e.awaitStop(ctx, partCtx) })
@@ -181,19 +174,6 @@
 	return err
 }
 
-// serveHTTP serves until its context ends, then waits for open requests.
-func serveHTTP(l net.Listener, handler http.Handler) supervisor.Actor {
-	return func(ctx context.Context) error {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve HTTP")
-		}
-		return nil
-	}
-}
-
 // awaitStop returns once a stop was asked for, the announcement has passed and no request is open.
 func (e *Entry) awaitStop(ctx, partCtx context.Context) error {
 	select {
--- a/internal/process/entryrunner/suspects.go
+++ b/internal/process/entryrunner/suspects.go
@@ -20,14 +20,11 @@
 	return &suspects{quarantiner: q, spread: spread}
 }
 
-// crashes returns how many upstreams the digest has crashed.
-func (s *suspects) crashes(d identifier.Digest) int {
-	for _, suspicion := range s.list() {
-		if suspicion.Digest == d {
-			return len(suspicion.Crashes)
-		}
-	}
-	return 0
+// verdict tells how a request with the digest may run.
+func (s *suspects) verdict(d identifier.Digest) quarantiner.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantiner.Verdict(time.Now(), d)
 }
 
 // crashed is called when a stream tells that its upstream died. The agent's heartbeat tells the same, but may come later
--- /dev/null
+++ b/internal/process/supervisor/http.go
@@ -0,0 +1,26 @@
+package supervisor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// headerTimeout bounds the time in which a client sends its header fields.
+const headerTimeout = 10 * time.Second
+
+// HTTP returns an actor that serves on a listener and closes all connections when its context ends.
+func HTTP(l net.Listener, handler http.Handler) Actor {
+	return func(ctx context.Context) error {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve HTTP")
+		}
+		return nil
+	}
+}
--- a/internal/request/streamer/acquire.go
+++ b/internal/request/streamer/acquire.go
@@ -6,6 +6,7 @@
 
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/router"
 )
@@ -23,7 +24,7 @@
 	defer ticker.Stop()
 	copied := d.copied(s.call.Digest)
 	for {
-		if d.cfg.Suspect(s.call.Digest) >= refuseCrashes {
+		if d.cfg.Verdict(s.call.Digest) == quarantiner.VerdictRefuse {
 			return queuer.Match{}, s.refused(messenger.ReasonQuarantined)
 		}
 		choices, inService := d.order(s.call, avoid)
--- a/internal/request/streamer/attend_test.go
+++ b/internal/request/streamer/attend_test.go
@@ -16,6 +16,7 @@
 	"currantledge.example/currantledge/internal/connection/pooler"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/router"
 	"currantledge.example/currantledge/internal/request/streamer"
 )
@@ -105,7 +106,7 @@
 		Candidates: func(messenger.Target) []router.Candidate {
 			return []router.Candidate{{Upstream: "u1", Limit: 8}, {Upstream: "u2", Limit: 8}}
 		},
-		Suspect: func(identifier.Digest) int { return 0 }, Crashed: func(identifier.Digest, identifier.Crash) {},
+		Verdict: func(identifier.Digest) quarantiner.Verdict { return quarantiner.VerdictClear }, Crashed: func(identifier.Digest, identifier.Crash) {},
 	})
 	go func() { _ = d.Run(ctx) }()
 	attended := make(chan struct{}, 2)
--- a/internal/request/streamer/dispatcher.go
+++ b/internal/request/streamer/dispatcher.go
@@ -14,6 +14,7 @@
 	"currantledge.example/currantledge/internal/connection/pooler"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/refuser"
 	"currantledge.example/currantledge/internal/request/router"
@@ -38,8 +39,6 @@
 	copyWidth = 2
 	// suspectWidth is the number of upstreams that a request may run on after it took part in a crash.
 	suspectWidth = 1
-	// refuseCrashes is the number of crashes after which a request is refused.
-	refuseCrashes = 2
 )
 
 // ErrCallerGone tells that the caller closed its connection.
@@ -87,8 +86,8 @@
 	Log  *logger.Logger
 	// Candidates returns the upstreams in force for a target.
 	Candidates func(messenger.Target) []router.Candidate
-	// Suspect returns how many upstreams died while they ran a request digest.
-	Suspect func(identifier.Digest) int
+	// Verdict tells how a request may run after upstreams died while they ran its digest.
+	Verdict func(identifier.Digest) quarantiner.Verdict
 	// Crashed records that an upstream died while it ran a request digest.
 	Crashed func(identifier.Digest, identifier.Crash)
 	Policy  router.Policy
--- a/internal/request/streamer/routing.go
+++ b/internal/request/streamer/routing.go
@@ -6,6 +6,7 @@
 	"currantledge.example/currantledge/internal/connection/messenger"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/request/quarantiner"
 	"currantledge.example/currantledge/internal/request/queuer"
 	"currantledge.example/currantledge/internal/request/router"
 )
@@ -34,7 +35,7 @@
 	width := len(candidates)
 	if call.Target.Kind == messenger.TargetModel {
 		switch {
-		case d.cfg.Suspect(call.Digest) > 0:
+		case d.cfg.Verdict(call.Digest) != quarantiner.VerdictClear:
 			request.Sticky, width = true, suspectWidth
 		case closed(d.copied(call.Digest)):
 			request.Sticky, width = true, copyWidth
