Serve the platform's clients through gateways

Cause: the product had no way to run on the users' platform, which has no VM for control and whose upstreams speak plain HTTP/1.1.

Change: a role 'gateway' and the adapter platform/. A gateway follows the tables op and servers, shares its view with its peers (datagrams for load and versions, pulls for rows), and forwards straight to the upstreams. Ruled out: the hop through an agent, since services have no VM of ours beside them and runners may be called by anyone.

--- /dev/null
+++ b/internal/connection/gossiper/codec.go
@@ -0,0 +1,73 @@
+package gossiper
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/version/replicator"
+)
+
+type wireState struct {
+	Node          string            `cbor:"node"`
+	FailureDomain string            `cbor:"failureDomain"`
+	Address       string            `cbor:"address"`
+	Control       string            `cbor:"control"`
+	Incarnation   uint64            `cbor:"incarnation"`
+	Sequence      uint64            `cbor:"sequence"`
+	Versions      map[string]uint64 `cbor:"versions"`
+	Running       map[string]int    `cbor:"running"`
+	Stopping      bool              `cbor:"stopping,omitempty"`
+	Groups        map[string]bool   `cbor:"groups,omitempty"`
+	Peers         []string          `cbor:"peers,omitempty"`
+}
+
+func encode(s State) ([]byte, error) {
+	w := wireState{
+		Node:          string(s.Node),
+		FailureDomain: string(s.FailureDomain),
+		Address:       s.Address,
+		Control:       s.Control,
+		Incarnation:   uint64(s.Incarnation),
+		Sequence:      s.Sequence,
+		Versions:      convert[string](s.Versions),
+		Running:       convert[string](s.Running),
+		Stopping:      s.Stopping,
+		Groups:        convert[string](s.Groups),
+		Peers:         s.Peers,
+	}
+	raw, err := cbor.Marshal(w)
+	return raw, errors.Wrap(err, "encode the state")
+}
+
+func decode(raw []byte) (State, error) {
+	var w wireState
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return State{}, errors.Wrap(err, "decode the state")
+	}
+	return State{
+		Node:          identifier.Node(w.Node),
+		FailureDomain: identifier.FailureDomain(w.FailureDomain),
+		Address:       w.Address,
+		Control:       w.Control,
+		Incarnation:   identifier.Incarnation(w.Incarnation),
+		Sequence:      w.Sequence,
+		Versions:      convert[replicator.Table](w.Versions),
+		Running:       convert[identifier.Upstream](w.Running),
+		Stopping:      w.Stopping,
+		Groups:        convert[identifier.Service](w.Groups),
+		Peers:         w.Peers,
+	}, nil
+}
+
+// convert maps the keys of a map to another string type.
+func convert[To, From ~string, Value any](in map[From]Value) map[To]Value {
+	if in == nil {
+		return nil
+	}
+	out := make(map[To]Value, len(in))
+	for k, v := range in {
+		out[To(k)] = v
+	}
+	return out
+}
--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -47,7 +47,9 @@
 	Wait     func(ctx context.Context) error
 	RunEntry func(ctx context.Context, settings loader.Entry) error
 	RunAgent func(ctx context.Context, settings loader.Agent) error
-	Keygen   func(ctx context.Context, request KeygenRequest) error
+	// RunGateway runs a gateway from the platform's settings file.
+	RunGateway func(ctx context.Context, settingsPath string) error
+	Keygen     func(ctx context.Context, request KeygenRequest) error
 }
 
 const retryPause = time.Second
@@ -105,6 +107,7 @@
 	entrances := []entrance{
 		{"entry", "Run an entry", entryHelp, &entryCommand{base: local}},
 		{"agent", "Run an agent", agentHelp, &agentCommand{base: local}},
+		{"gateway", "Run a gateway on the users' platform", gatewayHelp, &gatewayCommand{base: local}},
 		{"apply", "Declare resources", applyHelp, &applyCommand{remoteCommand: remote()}},
 		{"get", "Show resources, nodes, maps or decisions", getHelp, &getCommand{remoteCommand: remote()}},
 		{"watch", "Follow changes of resources", watchHelp, &watchCommand{remoteCommand: remote()}},
--- a/internal/process/commander/help.go
+++ b/internal/process/commander/help.go
@@ -10,6 +10,11 @@
 Example:
   currantledge agent --settings agent.hujson`
 
+const gatewayHelp = `Runs a gateway until it receives a termination signal, then stops gracefully. The settings come from the file that the platform names in CURRANTLEDGE_NODE_FILE.
+
+Example:
+  currantledge gateway`
+
 const applyHelp = `Declares the resources of one or more files, in an order in which references hold. Resources that are not in the files stay as they are. Unchanged resources keep their revision. Exits with 3 on a conflict.
 
 Examples:
--- a/internal/process/commander/local.go
+++ b/internal/process/commander/local.go
@@ -10,6 +10,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 	"currantledge.example/currantledge/internal/version/declarer"
+	"currantledge.example/currantledge/platform"
 )
 
 type entryCommand struct {
@@ -40,6 +41,20 @@
 	return c.d.RunAgent(c.ctx, settings)
 }
 
+type gatewayCommand struct {
+	base
+	Settings string `long:"settings" value-name:"FILE" description:"settings of the platform; default: the file that CURRANTLEDGE_NODE_FILE names"`
+}
+
+// Execute runs the gateway.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		path = c.d.Getenv(platform.SettingsVariable)
+	}
+	return c.d.RunGateway(c.ctx, path)
+}
+
 type checkCommand struct {
 	base
 	EntrySettings []string `long:"entry-settings" value-name:"FILE" description:"settings of one entry"`
--- /dev/null
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -0,0 +1,347 @@
+// Package gatewayrunner wires the parts of a gateway together: a process on an entry VM that serves clients straight
+// from the upstreams, with the platform's store as the only thing that lasts.
+package gatewayrunner
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"currantledge.example/currantledge/internal/connection/gossiper"
+	"currantledge.example/currantledge/internal/connection/relayer"
+	"currantledge.example/currantledge/internal/connection/requester"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/supervisor"
+	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/request/budgeter"
+	"currantledge.example/currantledge/internal/request/forwarder"
+	"currantledge.example/currantledge/internal/version/cataloguer"
+	"currantledge.example/currantledge/internal/version/follower"
+	"currantledge.example/currantledge/internal/version/replicator"
+	"currantledge.example/currantledge/platform"
+)
+
+const (
+	// tickInterval is how often waiting requests are judged again and counts of peers are taken over.
+	tickInterval = 50 * time.Millisecond
+	// sweepInterval is how often idle connections and the settings file are looked at.
+	sweepInterval = 2 * time.Second
+	// pullAfter leaves the platform's own answer the first chance before rows are pulled from a peer.
+	pullAfter = 150 * time.Millisecond
+	// nodeTable holds a row for each gateway, so that gateways find each other without seeds.
+	nodeTable replicator.Table = "nodes"
+	// nodeInterval is how often a gateway renews its row and reads the others.
+	nodeInterval = 10 * time.Second
+	// decisionsKept is small because a gateway explains itself by its log lines.
+	decisionsKept = 16
+	// idleTimeout is above that of any configuration, so that the gateway never closes a connection a client reuses.
+	idleTimeout   = 30 * time.Second
+	headerTimeout = 5 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// Config is what a gateway runs from.
+type Config struct {
+	// SettingsPath is the platform's settings file; it is read again when it changes.
+	SettingsPath string
+	Output       io.Writer
+	LogLevel     zerolog.Level
+}
+
+// gateway holds the parts of a running gateway.
+type gateway struct {
+	settings   platform.Settings
+	log        *logger.Logger
+	meter      *meter.Meter
+	store      *platform.Store
+	replicator *replicator.Replicator
+	admitter   *admitter.Admitter
+	budgeter   *budgeter.Budgeter
+	requester  *requester.Requester
+	gossiper   *gossiper.Gossiper
+	relayer    *relayer.Relayer
+	fleet      atomic.Pointer[cataloguer.Fleet]
+	stopping   chan struct{}
+	listeners  []net.Listener
+	// rebuild wakes the actor that takes over changed tables.
+	rebuild chan struct{}
+	// behind holds since when a peer has had a higher version of a table.
+	behind map[replicator.Table]time.Time
+}
+
+// Run runs a gateway until the context ends, then stops it gracefully.
+func Run(ctx context.Context, cfg Config) error {
+	settings, err := platform.LoadSettings(cfg.SettingsPath)
+	if err != nil {
+		return err
+	}
+	lines := newLineWriter(cfg.Output)
+	defer lines.Close()
+	g, err := newGateway(settings, lines, cfg.LogLevel)
+	if err != nil {
+		return err
+	}
+	lines.start(g.log, g.meter)
+	g.log.Event(logger.EventStarted).Str("callers", settings.Callers).Str("ready", settings.Ready).
+		Str("store", settings.StoreAddress).Send()
+	return g.run(ctx, cfg.SettingsPath)
+}
+
+func newGateway(settings platform.Settings, output io.Writer, level zerolog.Level) (*gateway, error) {
+	g := &gateway{
+		settings: settings,
+		meter:    meter.New(),
+		store:    platform.NewStore(settings.StoreAddress),
+		relayer:  relayer.New(),
+		stopping: make(chan struct{}),
+		rebuild:  make(chan struct{}, 1),
+		behind:   map[replicator.Table]time.Time{},
+	}
+	g.log = logger.New(logger.Config{
+		Output:        output,
+		Level:         level,
+		Node:          settings.Node,
+		FailureDomain: settings.FailureDomain,
+		Decisions:     decisionsKept,
+	})
+	g.fleet.Store(&cataloguer.Fleet{})
+	g.replicator = replicator.New(replicator.Config{Changed: func(replicator.Table) { g.wake() }})
+	g.admitter = admitter.New(admitter.Config{
+		FailureDomain: settings.FailureDomain,
+		ColdFactor:    settings.Bounds.ColdFactor,
+		ColdSlack:     settings.Bounds.ColdSlack,
+		GroupChanged:  g.logGroup,
+	})
+	g.budgeter = budgeter.New(budgeter.Config{
+		Ratio:  settings.Bounds.BudgetRatio,
+		Extra:  settings.Bounds.ExtraRetries,
+		Window: settings.Bounds.BudgetWindow,
+	}, assumedGateways)
+	g.admitter.SetGateways(assumedGateways)
+	g.requester = requester.New(requester.Config{})
+	var seeds []string
+	for _, s := range settings.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			seeds = append(seeds, host)
+		}
+	}
+	var err error
+	g.gossiper, err = gossiper.New(gossiper.Config{
+		Node:        settings.Node,
+		Listen:      net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)),
+		Seeds:       seeds,
+		Tell:        g.tell,
+		Changed:     g.peersChanged,
+		PeerChanged: g.logPeer,
+	})
+	return g, err
+}
+
+// assumedGateways is taken for the number of gateways until peers are known.
+const assumedGateways = 8
+
+func (g *gateway) wake() {
+	select {
+	case g.rebuild <- struct{}{}:
+	default:
+	}
+}
+
+func (g *gateway) tell(s *gossiper.State) {
+	s.FailureDomain = g.settings.FailureDomain
+	s.Control = g.settings.Control
+	s.Running = g.admitter.Running()
+	s.Versions = map[replicator.Table]uint64{
+		platform.OperatorTable: g.replicator.Version(platform.OperatorTable),
+		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
+	}
+	select {
+	case <-g.stopping:
+		s.Stopping = true
+	default:
+	}
+}
+
+// peersChanged takes over what the peers run and how many share the bounds.
+func (g *gateway) peersChanged(now time.Time) {
+	peers := g.gossiper.Peers()
+	running := map[identifier.Upstream]int{}
+	for _, p := range peers {
+		if p.Silent {
+			continue
+		}
+		for id, n := range p.Running {
+			running[id] += n
+		}
+	}
+	g.admitter.SetPeers(now, running)
+	gateways := len(peers) + 1
+	if !g.replicated() {
+		gateways = max(gateways, assumedGateways)
+	}
+	g.admitter.SetGateways(gateways)
+	g.budgeter.SetGateways(gateways)
+}
+
+func (g *gateway) replicated() bool {
+	return g.fleet.Load().Catalogue != nil
+}
+
+func (g *gateway) logPeer(p gossiper.Peer) {
+	event := logger.EventPeerBack
+	if p.Silent {
+		event = logger.EventPeerLost
+	}
+	g.log.Event(event).Str("peer", string(p.Node)).Str("peerDomain", string(p.FailureDomain)).
+		Dur("ageMs", time.Since(p.Heard)).Uint64("incarnation", uint64(p.Incarnation)).Send()
+}
+
+func (g *gateway) logGroup(s identifier.Service, closed bool, after time.Duration) {
+	event := logger.EventGroupOpened
+	if closed {
+		event = logger.EventGroupClosed
+	}
+	g.log.Event(event).Str("service", string(s)).Dur("closedMs", after).Send()
+}
+
+// takeOver brings changed tables into force.
+func (g *gateway) takeOver(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.rebuild:
+		}
+		previous := g.fleet.Load()
+		fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
+			g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
+		for _, p := range problems {
+			g.log.Event(logger.EventEntryUnread).AnErr("error", p).Send()
+		}
+		g.fleet.Store(&fleet)
+		g.admitter.SetFleet(time.Now(), fleet)
+		version := uint64(0)
+		if fleet.Catalogue != nil {
+			version = uint64(fleet.Catalogue.Version())
+		}
+		g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
+			Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
+			Uint64("operatorRows", g.replicator.Version(platform.OperatorTable)).
+			Uint64("upstreamRows", g.replicator.Version(platform.UpstreamTable)).Send()
+	}
+}
+
+// tick does what is due at regular times.
+func (g *gateway) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.admitter.Tick(now)
+			g.replicator.Release(now)
+			g.pull(ctx, now)
+		}
+	}
+}
+
+// pull fetches rows from a peer that has had a higher version for a while.
+func (g *gateway) pull(ctx context.Context, now time.Time) {
+	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable} {
+		own := g.replicator.Version(t)
+		source := ""
+		highest := own
+		for _, p := range g.gossiper.Peers() {
+			if !p.Silent && p.Versions[t] > highest {
+				source, highest = p.Control, p.Versions[t]
+			}
+		}
+		since, waiting := g.behind[t]
+		switch {
+		case source == "":
+			delete(g.behind, t)
+		case !waiting:
+			g.behind[t] = now
+		case now.Sub(since) >= pullAfter:
+			g.behind[t] = now
+			go g.pullFrom(ctx, source, t, own)
+		}
+	}
+}
+
+func (g *gateway) pullFrom(ctx context.Context, source string, t replicator.Table, after uint64) {
+	rows, err := g.relayer.Pull(ctx, source, t, after)
+	if err != nil {
+		g.log.Event(logger.EventConfigPulled).Str("peer", source).AnErr("error", err).Send()
+		return
+	}
+	g.replicator.Merge(time.Now(), t, rows, t == platform.UpstreamTable)
+}
+
+// announce keeps the gateway's row and reads those of the others.
+func (g *gateway) announce(ctx context.Context) error {
+	key := string(g.settings.Node)
+	for {
+		if _, err := g.store.Put(ctx, nodeTable, key, []byte(g.settings.Address)); err != nil && ctx.Err() == nil {
+			g.meter.Add(meter.StoreFailures)
+		}
+		rows, _, err := g.store.Read(ctx, nodeTable)
+		if err != nil && ctx.Err() == nil {
+			g.meter.Add(meter.StoreFailures)
+		}
+		for _, row := range rows {
+			if host := string(row.Value); net.ParseIP(host) != nil {
+				g.gossiper.Add(host)
+			}
+		}
+		pause := nodeInterval
+		if err != nil {
+			pause = sweepInterval
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (g *gateway) follow(t replicator.Table, holdRemovals bool) supervisor.Actor {
+	return follower.New(follower.Config{
+		Store:        g.store,
+		Replicator:   g.replicator,
+		Table:        t,
+		HoldRemovals: holdRemovals,
+		Log:          g.log,
+		Meter:        g.meter,
+	}).Run
+}
+
+func (g *gateway) listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
+
+func (g *gateway) clientHandler() http.Handler {
+	return forwarder.New(forwarder.Config{
+		Names:     platform.HeaderNames(),
+		Fleet:     func() cataloguer.Fleet { return *g.fleet.Load() },
+		Admitter:  g.admitter,
+		Budgeter:  g.budgeter,
+		Requester: g.requester,
+		Log:       g.log,
+		Meter:     g.meter,
+		Stopping:  g.stopping,
+	})
+}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -10,7 +10,7 @@
 type Event int
 
 // The numbered events. 1xx process, 2xx links and membership, 3xx requests, 4xx admission and claims,
-// 5xx configuration, 6xx groups and placement.
+// 5xx configuration, 6xx groups and placement, 7xx gateways.
 const (
 	EventStarted        Event = 100
 	EventStopping       Event = 101
@@ -48,6 +48,24 @@
 	EventMapDecided     Event = 603
 	EventMapPlaced      Event = 604
 	EventOrderRefused   Event = 605
+	EventForwarded      Event = 700
+	EventForwardFailed  Event = 701
+	EventAnswered       Event = 702
+	EventFleetChanged   Event = 710
+	EventEntryUnread    Event = 711
+	EventStoreLost      Event = 712
+	EventStoreBack      Event = 713
+	EventPeerLost       Event = 714
+	EventPeerBack       Event = 715
+	EventGroupClosed    Event = 716
+	EventGroupOpened    Event = 717
+	EventReadyChanged   Event = 718
+	EventGroupLead      Event = 720
+	EventMapSwitched    Event = 721
+	EventMapAbandoned   Event = 722
+	EventHoldReleased   Event = 723
+	EventLinesDropped   Event = 730
+	EventSettingsRead   Event = 731
 )
 
 type entry struct {
@@ -92,6 +110,24 @@
 	EventMapDecided:     {zerolog.InfoLevel, "expert map decided"},
 	EventMapPlaced:      {zerolog.InfoLevel, "expert placement chosen"},
 	EventOrderRefused:   {zerolog.WarnLevel, "order with an old fencing number refused"},
+	EventForwarded:      {zerolog.InfoLevel, "request forwarded to an upstream"},
+	EventForwardFailed:  {zerolog.WarnLevel, "upstream did not answer the request"},
+	EventAnswered:       {zerolog.InfoLevel, "request answered"},
+	EventFleetChanged:   {zerolog.InfoLevel, "configuration or upstreams changed"},
+	EventEntryUnread:    {zerolog.WarnLevel, "row of the platform could not be read"},
+	EventStoreLost:      {zerolog.WarnLevel, "platform store does not answer"},
+	EventStoreBack:      {zerolog.InfoLevel, "platform store answers again"},
+	EventPeerLost:       {zerolog.WarnLevel, "peer gateway is silent"},
+	EventPeerBack:       {zerolog.InfoLevel, "peer gateway heard"},
+	EventGroupClosed:    {zerolog.WarnLevel, "group of a service does not work"},
+	EventGroupOpened:    {zerolog.InfoLevel, "group of a service works"},
+	EventReadyChanged:   {zerolog.InfoLevel, "readiness changed"},
+	EventGroupLead:      {zerolog.InfoLevel, "leadership of the expert maps changed"},
+	EventMapSwitched:    {zerolog.InfoLevel, "expert map switched"},
+	EventMapAbandoned:   {zerolog.WarnLevel, "expert map switch abandoned"},
+	EventHoldReleased:   {zerolog.WarnLevel, "group held by an earlier switch released"},
+	EventSettingsRead:   {zerolog.InfoLevel, "settings read again"},
+	EventLinesDropped:   {zerolog.WarnLevel, "log lines dropped"},
 }
 
 // Described is one row of the event catalogue.
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -43,5 +43,16 @@
 		{LinkBytesReceived, TypeCounter, "bytes"},
 		{ControlBytesSent, TypeCounter, "bytes"},
 		{ControlBytesReceived, TypeCounter, "bytes"},
+		{GatewayRequests, TypeCounter, "requests"},
+		{GatewayServed, TypeCounter, "requests"},
+		{GatewayRefused, TypeCounter, "requests"},
+		{GatewayRejected, TypeCounter, "requests"},
+		{GatewayFailed, TypeCounter, "requests"},
+		{GatewayBroken, TypeCounter, "requests"},
+		{GatewayCancelled, TypeCounter, "requests"},
+		{StoreFailures, TypeCounter, "calls"},
+		{MapSwitches, TypeCounter, "switches"},
+		{MapsAbandoned, TypeCounter, "switches"},
+		{LogLinesDropped, TypeCounter, "lines"},
 	}
 }
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -36,6 +36,18 @@
 	LinkBytesReceived    Name = "linkBytesReceived"
 	ControlBytesSent     Name = "controlBytesSent"
 	ControlBytesReceived Name = "controlBytesReceived"
+
+	GatewayRequests  Name = "gatewayRequests"
+	GatewayServed    Name = "gatewayServed"
+	GatewayRefused   Name = "gatewayRefused"
+	GatewayRejected  Name = "gatewayRejected"
+	GatewayFailed    Name = "gatewayFailed"
+	GatewayBroken    Name = "gatewayBroken"
+	GatewayCancelled Name = "gatewayCancelled"
+	StoreFailures    Name = "storeFailures"
+	MapSwitches      Name = "mapSwitches"
+	MapsAbandoned    Name = "mapsAbandoned"
+	LogLinesDropped  Name = "logLinesDropped"
 )
 
 const published = "currantledge"
--- a/main.go
+++ b/main.go
@@ -8,10 +8,13 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"currantledge.example/currantledge/internal/connection/authenticator"
 	"currantledge.example/currantledge/internal/process/agentrunner"
 	"currantledge.example/currantledge/internal/process/commander"
 	"currantledge.example/currantledge/internal/process/entryrunner"
+	"currantledge.example/currantledge/internal/process/gatewayrunner"
 	"currantledge.example/currantledge/internal/process/keymaker"
 	"currantledge.example/currantledge/internal/process/loader"
 )
@@ -33,6 +36,11 @@
 		RunAgent: func(ctx context.Context, settings loader.Agent) error {
 			return agentrunner.Run(ctx, agentrunner.Config{Settings: settings, Output: os.Stderr})
 		},
+		RunGateway: func(ctx context.Context, path string) error {
+			return gatewayrunner.Run(ctx, gatewayrunner.Config{
+				SettingsPath: path, Output: os.Stdout, LogLevel: zerolog.InfoLevel,
+			})
+		},
 		Keygen: makeKeys,
 	}, os.Args[1:])
 }
