Let a leader keep the expert maps in line with demand

Cause: after an expert shift the most loaded rank had 3.34 times the mean with the map that a group starts with, and each pass lasts as long as that rank's part; nearly all streams of the worst seconds were late.

Change: rebalancer (pure) chooses the layout, mapswitcher brings it into force under a hold, mapleader holds the lease, reads counts and decides.

--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -18,6 +18,7 @@
 	Versions      map[string]uint64 `cbor:"versions"`
 	Running       map[string]int    `cbor:"running"`
 	Stopping      bool              `cbor:"stopping,omitempty"`
+	Leading       bool              `cbor:"leading,omitempty"`
 	Groups        map[string]bool   `cbor:"groups,omitempty"`
 	Peers         []string          `cbor:"peers,omitempty"`
 }
@@ -33,6 +34,7 @@
 		Versions:      convert[string](s.Versions),
 		Running:       convert[string](s.Running),
 		Stopping:      s.Stopping,
+		Leading:       s.Leading,
 		Groups:        convert[string](s.Groups),
 		Peers:         s.Peers,
 	}
@@ -55,6 +57,7 @@
 		Versions:      convert[replicator.Table](w.Versions),
 		Running:       convert[identifier.Upstream](w.Running),
 		Stopping:      w.Stopping,
+		Leading:       w.Leading,
 		Groups:        convert[identifier.Service](w.Groups),
 		Peers:         w.Peers,
 	}, nil
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -45,8 +45,9 @@
 	Running map[identifier.Upstream]int
 	// Stopping gateways take no new clients.
 	Stopping bool
-	// Groups holds what the leader of the expert maps sees of each service's group.
-	Groups map[identifier.Service]bool
+	// Leading is set for the leader of the expert maps. Groups holds which services' groups it sees working.
+	Leading bool
+	Groups  map[identifier.Service]bool
 	// Peers are datagram addresses of other gateways.
 	Peers []string
 }
@@ -244,6 +245,11 @@
 	g.cfg.Changed(now)
 }
 
+// Incarnation returns that of this gateway.
+func (g *Gossiper) Incarnation() identifier.Incarnation {
+	return g.started
+}
+
 // Peers returns all peers that are not forgotten.
 func (g *Gossiper) Peers() []Peer {
 	g.mu.Lock()
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -26,6 +26,7 @@
 	"currantledge.example/currantledge/internal/request/forwarder"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/follower"
+	"currantledge.example/currantledge/internal/version/mapleader"
 	"currantledge.example/currantledge/internal/version/replicator"
 	"currantledge.example/currantledge/platform"
 )
@@ -71,9 +72,10 @@
 	relayer    *relayer.Relayer
 	fleet      atomic.Pointer[cataloguer.Fleet]
 	stopping   chan struct{}
-	listeners  []net.Listener
 	// rebuild wakes the actor that takes over changed tables.
 	rebuild chan struct{}
+	leader  *mapleader.Leader
+	groups  *groupStates
 	// behind holds since when a peer has had a higher version of a table.
 	behind map[replicator.Table]time.Time
 }
@@ -143,7 +145,25 @@
 		Changed:     g.peersChanged,
 		PeerChanged: g.logPeer,
 	})
-	return g, err
+	if err != nil {
+		return nil, err
+	}
+	g.groups = newGroupStates(g.admitter)
+	g.leader = mapleader.New(mapleader.Config{
+		Lease: mapleader.NewLease(mapleader.LeaseConfig{
+			Store:       g.store,
+			Node:        settings.Node,
+			Incarnation: g.gossiper.Incarnation(),
+			Dead:        g.dead,
+		}),
+		Engines:     platform.NewEngines(),
+		Fleet:       func() cataloguer.Fleet { return *g.fleet.Load() },
+		LeaderHeard: g.leaderHeard,
+		GroupState:  g.groups.seen,
+		Log:         g.log,
+		Meter:       g.meter,
+	})
+	return g, nil
 }
 
 // assumedGateways is taken for the number of gateways until peers are known.
@@ -164,6 +184,9 @@
 		platform.OperatorTable: g.replicator.Version(platform.OperatorTable),
 		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
 	}
+	if s.Leading = g.leader.Leading(); s.Leading {
+		s.Groups = g.groups.all()
+	}
 	select {
 	case <-g.stopping:
 		s.Stopping = true
@@ -179,6 +202,11 @@
 		if p.Silent {
 			continue
 		}
+		if p.Leading {
+			for s, open := range p.Groups {
+				g.groups.seen(s, open)
+			}
+		}
 		for id, n := range p.Running {
 			running[id] += n
 		}
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -53,6 +53,8 @@
 	group.Add(g.takeOver)
 	group.Add(g.tick)
 	group.Add(g.announce)
+	group.Add(g.leader.RunLease)
+	group.Add(g.leader.Run)
 	group.Add(g.reload(settingsPath))
 	err = group.Run()
 	g.log.Event(logger.EventStopped).AnErr("error", err).Send()
--- /dev/null
+++ b/internal/version/mapleader/estimator.go
@@ -0,0 +1,71 @@
+package mapleader
+
+import (
+	"math"
+	"time"
+
+	"currantledge.example/currantledge/internal/version/mapswitcher"
+)
+
+// smoothing is the time constant of the popularity: short enough to follow a shift within a second, long enough that
+// single requests do not move experts.
+const smoothing = 700 * time.Millisecond
+
+// estimator turns the growing counts of the ranks into the present popularity of the experts.
+type estimator struct {
+	sets    int
+	experts int
+	last    [][]float64
+	lastAt  time.Time
+	level   [][]float64
+}
+
+func newEstimator(sets, experts, ranks int) *estimator {
+	e := &estimator{sets: sets, experts: experts, last: make([][]float64, ranks), level: make([][]float64, sets)}
+	for s := range e.level {
+		e.level[s] = make([]float64, experts)
+	}
+	return e
+}
+
+// observe adds the counts of all ranks at one time.
+func (e *estimator) observe(now time.Time, counts []mapswitcher.Counts) {
+	sample := make([]float64, e.sets*e.experts)
+	for r, c := range counts {
+		if len(c.Counts) != len(sample) {
+			continue
+		}
+		for i, n := range c.Counts {
+			grown := n
+			// A rank that started anew counts from zero.
+			if e.last[r] != nil && n >= e.last[r][i] {
+				grown -= e.last[r][i]
+			}
+			sample[i] += grown
+		}
+		e.last[r] = c.Counts
+	}
+	weight := 1.0
+	if !e.lastAt.IsZero() {
+		weight = 1 - math.Exp(-now.Sub(e.lastAt).Seconds()/smoothing.Seconds())
+	}
+	e.lastAt = now
+	for s := range e.level {
+		part := sample[s*e.experts : (s+1)*e.experts]
+		total := 0.0
+		for _, v := range part {
+			total += v
+		}
+		if total == 0 {
+			continue
+		}
+		for i, v := range part {
+			e.level[s][i] += weight * (v/total - e.level[s][i])
+		}
+	}
+}
+
+// popularity returns the share of each expert in the work of its set.
+func (e *estimator) popularity() [][]float64 {
+	return e.level
+}
--- /dev/null
+++ b/internal/version/mapleader/mapleader.go
@@ -0,0 +1,437 @@
+// Package mapleader keeps the expert maps of groups in line with what is in demand. One gateway leads at a time, under a
+// lease; it reads the counts of the ranks, asks the rebalancer for a better map and has the mapswitcher bring it into
+// force.
+package mapleader
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/version/cataloguer"
+	"currantledge.example/currantledge/internal/version/mapswitcher"
+	"currantledge.example/currantledge/internal/version/rebalancer"
+)
+
+const (
+	// countInterval is how often the counts are read; each read pauses a group for half a millisecond per 400 numbers.
+	countInterval = 400 * time.Millisecond
+	// rosterPause is the pause before a group that is not complete is read again.
+	rosterPause = 250 * time.Millisecond
+	// callTimeout bounds one call of a rank.
+	callTimeout = 300 * time.Millisecond
+	// leaseInterval is how often the lease is looked after.
+	leaseInterval = 250 * time.Millisecond
+	// reportLag is how far reports may be behind; a new leader waits that long before it trusts one.
+	reportLag = 500 * time.Millisecond
+	// minSkewGain is the gain in skew for which a switch is worth its orders and the slower passes while ranks load.
+	minSkewGain = 0.05
+	// sampledRanks is the number of ranks whose counts are read. Requests are spread evenly over the ranks, so a part of
+	// them shows the popularity of all.
+	sampledRanks = 3
+	// tolerated is the skew at which a group is left alone; enough is the skew to which one that exceeds it is brought.
+	tolerated = 1.4
+	enough    = 1.1
+	// versionsPerTenure leaves room for the map versions of one tenure below those of the next one.
+	versionsPerTenure = 1 << 12
+)
+
+// Config sets up a Leader.
+type Config struct {
+	Lease   *Lease
+	Engines mapswitcher.Engines
+	Fleet   func() cataloguer.Fleet
+	// LeaderHeard tells whether another gateway leads and was heard lately.
+	LeaderHeard func() bool
+	// GroupState is called when the leader sees that the group of a service works or not.
+	GroupState func(s identifier.Service, open bool)
+	Log        *logger.Logger
+	Meter      *meter.Meter
+}
+
+// Leader looks after the groups while it holds the lease.
+type Leader struct {
+	cfg     Config
+	leading atomic.Bool
+	tenure  uint64
+	version uint64
+}
+
+// New returns a Leader.
+func New(cfg Config) *Leader {
+	return &Leader{cfg: cfg}
+}
+
+// Leading tells whether this gateway leads.
+func (l *Leader) Leading() bool {
+	return l.leading.Load() && l.cfg.Lease.Held()
+}
+
+// RunLease takes and renews the lease until the context ends, then gives it up.
+func (l *Leader) RunLease(ctx context.Context) error {
+	ticker := time.NewTicker(leaseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.leading.Store(false)
+			limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			if err := l.cfg.Lease.Release(limited); err != nil {
+				l.cfg.Meter.Add(meter.StoreFailures)
+			}
+			return nil
+		case <-ticker.C:
+			l.tendLease(ctx)
+		}
+	}
+}
+
+func (l *Leader) tendLease(ctx context.Context) {
+	was := l.leading.Load()
+	var now bool
+	var err error
+	switch {
+	case was:
+		now, err = l.cfg.Lease.Renew(ctx)
+	case !l.hasGroups() || l.cfg.LeaderHeard():
+		return
+	default:
+		now, err = l.cfg.Lease.Claim(ctx)
+	}
+	if err != nil {
+		l.cfg.Meter.Add(meter.StoreFailures)
+	}
+	if now != was {
+		l.leading.Store(now)
+		l.cfg.Log.Event(logger.EventGroupLead).Bool("leading", now).Uint64("fence", l.cfg.Lease.Fence()).
+			AnErr("error", err).Send()
+	}
+}
+
+func (l *Leader) hasGroups() bool {
+	return len(l.groupServices()) > 0
+}
+
+func (l *Leader) groupServices() []cataloguer.Service {
+	fleet := l.cfg.Fleet()
+	if fleet.Catalogue == nil {
+		return nil
+	}
+	var out []cataloguer.Service
+	for _, s := range fleet.Catalogue.Services() {
+		if s.Engine != nil && s.Engine.Sets > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Run looks after the groups until the context ends.
+func (l *Leader) Run(ctx context.Context) error {
+	keepers := map[identifier.ModelGroup]*keeper{}
+	for ctx.Err() == nil {
+		if !l.Leading() {
+			clear(keepers)
+			wait(ctx, rosterPause)
+			continue
+		}
+		if fence := l.cfg.Lease.Fence(); l.tenure == 0 || len(keepers) == 0 {
+			l.tenure = fence
+		}
+		complete := true
+		for _, s := range l.groupServices() {
+			if !l.tend(ctx, s, keepers) {
+				complete = false
+			}
+		}
+		if complete {
+			wait(ctx, countInterval)
+		} else {
+			wait(ctx, rosterPause)
+		}
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// keeper is what the leader knows of one epoch of a group.
+type keeper struct {
+	service   cataloguer.Service
+	group     mapswitcher.Group
+	layout    rebalancer.Layout
+	estimator *estimator
+	switcher  *mapswitcher.Switcher
+	// unresolved is set if the group may be held.
+	unresolved bool
+}
+
+// tend looks after the groups of a service once and tells whether they work.
+func (l *Leader) tend(ctx context.Context, s cataloguer.Service, keepers map[identifier.ModelGroup]*keeper) bool {
+	var known []*keeper
+	for _, k := range keepers {
+		if k.service.Name == s.Name {
+			known = append(known, k)
+		}
+	}
+	if len(known) == 0 {
+		found, open := l.readGroups(ctx, s)
+		l.cfg.GroupState(s.Name, open)
+		if !open {
+			return false
+		}
+		for _, k := range found {
+			keepers[k.group.Name] = k
+		}
+		known = found
+	}
+	works := true
+	for _, k := range known {
+		if err := l.keep(ctx, k); err != nil {
+			works = false
+			delete(keepers, k.group.Name)
+		}
+	}
+	return works
+}
+
+// members returns the upstreams of a service in a fixed order.
+func (l *Leader) members(s identifier.Service) []mapswitcher.Member {
+	var out []mapswitcher.Member
+	for _, u := range l.cfg.Fleet().Upstreams {
+		if u.Service == s {
+			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address})
+		}
+	}
+	return out
+}
+
+// gather calls a function for all members at the same time; the results of failed calls are left zero.
+func gather[T any](ctx context.Context, members []mapswitcher.Member, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
+	out := make([]T, len(members))
+	errs := make([]error, len(members))
+	var group sync.WaitGroup
+	for i, m := range members {
+		group.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			out[i], errs[i] = call(limited, m)
+		})
+	}
+	group.Wait()
+	return out, errs
+}
+
+// readGroups reads which upstreams form the groups of a service, and tells whether all groups are complete and open.
+func (l *Leader) readGroups(ctx context.Context, s cataloguer.Service) ([]*keeper, bool) {
+	members := l.members(s.Name)
+	if len(members) == 0 {
+		return nil, false
+	}
+	// One closed rank shows that its group is closed, at the price of one call.
+	first, errs := gather(ctx, members[:1], l.cfg.Engines.Report)
+	if errs[0] == nil && !first[0].Open {
+		return nil, false
+	}
+	reports, errs := gather(ctx, members, l.cfg.Engines.Report)
+	groups := map[identifier.ModelGroup]*roster{}
+	for i, r := range reports {
+		if errs[i] != nil || r.Group == "" {
+			continue
+		}
+		if groups[r.Group] == nil {
+			groups[r.Group] = &roster{}
+		}
+		groups[r.Group].add(members[i], r)
+	}
+	var out []*keeper
+	for name, g := range groups {
+		if !g.complete() {
+			continue
+		}
+		k, err := l.newKeeper(ctx, s, name, g)
+		if err != nil {
+			l.cfg.Log.Event(logger.EventMapAbandoned).Str("group", string(name)).AnErr("error", err).Send()
+			continue
+		}
+		out = append(out, k)
+	}
+	return out, len(out) > 0
+}
+
+// roster gathers the reports of a group.
+type roster struct {
+	members []mapswitcher.Member
+	reports []mapswitcher.Report
+}
+
+func (g *roster) add(m mapswitcher.Member, r mapswitcher.Report) {
+	// Draining upstreams and their successors may report the same rank; the newer epoch holds.
+	if len(g.reports) > 0 && r.Epoch > g.reports[0].Epoch {
+		g.members, g.reports = nil, nil
+	}
+	if len(g.reports) > 0 && r.Epoch < g.reports[0].Epoch {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(g.reports, r, func(a, b mapswitcher.Report) int { return int(a.Rank - b.Rank) })
+	g.members = slices.Insert(g.members, at, m)
+	g.reports = slices.Insert(g.reports, at, r)
+}
+
+func (g *roster) complete() bool {
+	if len(g.reports) == 0 || len(g.reports) != g.reports[0].Size {
+		return false
+	}
+	for i, r := range g.reports {
+		if int(r.Rank) != i || !r.Open {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Leader) newKeeper(ctx context.Context, s cataloguer.Service, name identifier.ModelGroup, g *roster) (*keeper, error) {
+	k := &keeper{
+		service:   s,
+		group:     mapswitcher.Group{Name: name, Epoch: g.reports[0].Epoch, Members: g.members},
+		estimator: newEstimator(s.Engine.Sets, s.Engine.Experts, len(g.members)),
+		switcher: mapswitcher.New(mapswitcher.Config{
+			Engines:  l.cfg.Engines,
+			Allowed:  l.Leading,
+			LoadTime: s.Engine.ExpertLoadTime,
+		}),
+	}
+	if err := l.readLayout(ctx, k); err != nil {
+		return nil, err
+	}
+	for _, r := range g.reports {
+		k.unresolved = k.unresolved || r.Held != nil || r.Armed != 0
+	}
+	if k.unresolved {
+		return k, l.recoverGroup(ctx, k)
+	}
+	return k, nil
+}
+
+func (l *Leader) readLayout(ctx context.Context, k *keeper) error {
+	holdings, errs := gather(ctx, k.group.Members, l.cfg.Engines.Holdings)
+	layout := make(rebalancer.Layout, k.service.Engine.Sets)
+	for s := range layout {
+		layout[s] = make([][]identifier.Expert, len(holdings))
+	}
+	for r, h := range holdings {
+		if errs[r] != nil {
+			return errs[r]
+		}
+		if h.Epoch != k.group.Epoch || h.Version != holdings[0].Version || len(h.Experts) != len(layout) {
+			return mapswitcher.ErrEpoch
+		}
+		for s, experts := range h.Experts {
+			layout[s][r] = experts
+		}
+	}
+	k.layout = layout
+	return nil
+}
+
+// recoverGroup ends what an earlier leader or a failed switch has left.
+func (l *Leader) recoverGroup(ctx context.Context, k *keeper) error {
+	wait(ctx, reportLag)
+	reports, errs := gather(ctx, k.group.Members, l.cfg.Engines.Report)
+	for i, r := range reports {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		if r.Epoch != k.group.Epoch {
+			return mapswitcher.ErrEpoch
+		}
+	}
+	if err := k.switcher.Recover(ctx, k.group, reports, l.nextVersion(), k.layout); err != nil {
+		return err
+	}
+	k.unresolved = false
+	l.cfg.Log.Event(logger.EventHoldReleased).Str("group", string(k.group.Name)).Uint64("epoch", uint64(k.group.Epoch)).Send()
+	return nil
+}
+
+// nextVersion returns a map version above all earlier ones: the fence grows with every tenure.
+func (l *Leader) nextVersion() identifier.MapVersion {
+	l.version = max(l.version+1, l.tenure*versionsPerTenure)
+	return identifier.MapVersion(l.version)
+}
+
+// keep reads the counts of a group and switches its map if that is worth it.
+func (l *Leader) keep(ctx context.Context, k *keeper) error {
+	if k.unresolved {
+		if err := l.recoverGroup(ctx, k); err != nil {
+			return err
+		}
+	}
+	sampled := k.group.Members[:min(sampledRanks, len(k.group.Members))]
+	counts, errs := gather(ctx, sampled, l.cfg.Engines.Counts)
+	for i, c := range counts {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		if c.Epoch != k.group.Epoch {
+			return mapswitcher.ErrEpoch
+		}
+	}
+	k.estimator.observe(time.Now(), counts)
+	engine := k.service.Engine
+	popularity := k.estimator.popularity()
+	next := rebalancer.Improve(k.layout, popularity, rebalancer.Shape{
+		Experts: engine.Experts, Places: engine.Places, Spare: engine.Spare, Enough: enough,
+	})
+	before, after := rebalancer.Skew(k.layout, popularity), rebalancer.Skew(next, popularity)
+	if before < tolerated || before-after < minSkewGain {
+		return nil
+	}
+	return l.switchMap(ctx, k, next, before, after)
+}
+
+func (l *Leader) switchMap(ctx context.Context, k *keeper, next rebalancer.Layout, before, after float64) error {
+	started := time.Now()
+	plan := mapswitcher.Plan{
+		Version:  l.nextVersion(),
+		Fallback: l.nextVersion(),
+		From:     k.layout,
+		To:       next,
+		Loads:    rebalancer.Loads(k.layout, next),
+	}
+	held, err := k.switcher.Switch(ctx, k.group, plan)
+	event, count := logger.EventMapSwitched, meter.MapSwitches
+	if err != nil {
+		event, count = logger.EventMapAbandoned, meter.MapsAbandoned
+	}
+	l.cfg.Meter.Add(count)
+	l.cfg.Log.Event(event).Str("group", string(k.group.Name)).Uint64("epoch", uint64(k.group.Epoch)).
+		Uint64("version", uint64(plan.Version)).Float64("skewBefore", before).Float64("skewAfter", after).
+		Int("loads", plan.Loads).Dur("tookMs", time.Since(started)).Dur("heldMs", held).AnErr("error", err).Send()
+	switch {
+	case err == nil:
+		k.layout = next
+		return nil
+	case errors.Is(err, mapswitcher.ErrUnresolved):
+		k.unresolved = true
+		return nil
+	case errors.Is(err, mapswitcher.ErrAbandoned):
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -0,0 +1,410 @@
+// Package mapswitcher changes the expert map of a group so that all ranks take the new map at the same step.
+//
+// A switch prepares the map on every rank, then holds the group before a step ahead, arms every rank for that step, and
+// lets the group go on only once every rank has confirmed that it is armed. If a rank does not confirm, every rank is
+// disarmed and given a newer version first: an order that arrives late then names a version that is no longer prepared,
+// or a step that has begun, and is rejected.
+package mapswitcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/version/rebalancer"
+)
+
+// Epoch counts the times that a group has formed. Maps, arms and holds do not outlive it.
+type Epoch uint64
+
+// Member is one rank of a group, with the incarnation that orders are meant for.
+type Member struct {
+	Upstream identifier.Upstream
+	Address  string
+}
+
+// Group is what one epoch of a group consists of, ordered by rank.
+type Group struct {
+	Name    identifier.ModelGroup
+	Epoch   Epoch
+	Members []Member
+}
+
+// Report is the state of a rank, as of some hundred milliseconds ago.
+type Report struct {
+	Group identifier.ModelGroup
+	Epoch Epoch
+	Rank  identifier.Rank
+	// Size is the number of ranks of the group.
+	Size int
+	Open bool
+	Step identifier.Step
+	Map  identifier.MapVersion
+	// Prepared and Armed are 0 and Held is nil if there is none.
+	Prepared identifier.MapVersion
+	Armed    identifier.MapVersion
+	Held     *identifier.Step
+}
+
+// Counts is how often the requests of a rank chose each expert since the rank started, set after set.
+type Counts struct {
+	Step   identifier.Step
+	Epoch  Epoch
+	Counts []float64
+}
+
+// Holdings is the map of one rank.
+type Holdings struct {
+	Epoch   Epoch
+	Version identifier.MapVersion
+	// Experts lists the experts of the rank by set.
+	Experts [][]identifier.Expert
+}
+
+// Order is an order to a rank.
+type Order interface{ order() }
+
+// Prepare loads the experts of a map beside those in use.
+type Prepare struct {
+	Version identifier.MapVersion
+	Layout  rebalancer.Layout
+}
+
+// Arm makes the rank take a prepared map as a step begins.
+type Arm struct {
+	Version identifier.MapVersion
+	Step    identifier.Step
+}
+
+// Disarm takes back an Arm.
+type Disarm struct {
+	Version identifier.MapVersion
+}
+
+// Hold keeps the group from beginning a step.
+type Hold struct {
+	Step identifier.Step
+}
+
+// Release ends a Hold.
+type Release struct {
+	Step identifier.Step
+}
+
+func (Prepare) order() {}
+func (Arm) order()     {}
+func (Disarm) order()  {}
+func (Hold) order()    {}
+func (Release) order() {}
+
+// Status is a rank's answer to an order.
+type Status int
+
+// The answers.
+const (
+	// StatusBegun means that the order has begun.
+	StatusBegun Status = iota + 1
+	// StatusDone means that the order is done or its state already holds.
+	StatusDone
+	// StatusConflict means that the order does not fit the state of the rank.
+	StatusConflict
+	// StatusReplaced means that another upstream has the address.
+	StatusReplaced
+	// StatusInvalid means that the rank does not know the order.
+	StatusInvalid
+)
+
+// Engines calls the ranks. An error means that an order may have been accepted or may be carried out later.
+type Engines interface {
+	Report(ctx context.Context, m Member) (Report, error)
+	Counts(ctx context.Context, m Member) (Counts, error)
+	Holdings(ctx context.Context, m Member) (Holdings, error)
+	Order(ctx context.Context, m Member, epoch Epoch, o Order) (Status, error)
+}
+
+const (
+	// orderTimeout bounds one try of an order; ranks answer within some ms.
+	orderTimeout = 60 * time.Millisecond
+	// mapTimeout bounds one try of a Prepare, which carries the whole map over a slow link.
+	mapTimeout = 250 * time.Millisecond
+	// retryPause is the pause between two tries.
+	retryPause = 10 * time.Millisecond
+	// preparePoll is how often a rank that is loading is asked again.
+	preparePoll = 60 * time.Millisecond
+	// stepsAhead is the distance of the switch step, so that the arms arrive before the group gets there: a step that
+	// is being computed, one that may begin meanwhile, and the switch step.
+	stepsAhead = 3
+	// holdTries bounds the tries to place a hold ahead of the group.
+	holdTries = 4
+	// armLimit bounds the time that the group may be held for missing confirmations; clients leave after 2 s.
+	armLimit = 900 * time.Millisecond
+	// abandonLimit bounds the attempt to disarm and release; the group is of no use while it lasts.
+	abandonLimit = 10 * time.Second
+)
+
+var (
+	// ErrAbandoned means that the group goes on with the map it had.
+	ErrAbandoned = errors.New("the switch was abandoned; the group keeps its map")
+	// ErrUnresolved means that the group may still be held. Recover has to be called before another switch.
+	ErrUnresolved = errors.New("the group may still be held; recover it before another switch")
+	// ErrEpoch means that the group has formed anew or a rank was replaced.
+	ErrEpoch = errors.New("the group has formed anew; read it again")
+)
+
+// Config sets up a Switcher.
+type Config struct {
+	Engines Engines
+	// Allowed tells whether this process may still give orders.
+	Allowed func() bool
+	// LoadTime is how long a rank needs to load one expert.
+	LoadTime time.Duration
+}
+
+// Switcher gives the orders of one leader.
+type Switcher struct {
+	cfg Config
+}
+
+// New returns a Switcher.
+func New(cfg Config) *Switcher {
+	return &Switcher{cfg: cfg}
+}
+
+// Plan is a map change.
+type Plan struct {
+	// Version is higher than all versions of the group. Fallback is higher still; it replaces Version if the switch is
+	// abandoned.
+	Version  identifier.MapVersion
+	Fallback identifier.MapVersion
+	From     rebalancer.Layout
+	To       rebalancer.Layout
+	// Loads is the largest number of experts that a rank loads.
+	Loads int
+}
+
+// Switch carries out a plan. It returns how long the group may have been held.
+func (s *Switcher) Switch(ctx context.Context, g Group, p Plan) (time.Duration, error) {
+	if err := s.prepare(ctx, g, Prepare{Version: p.Version, Layout: p.To}, p.Loads); err != nil {
+		return 0, err
+	}
+	step, err := s.hold(ctx, g)
+	if err != nil {
+		return 0, err
+	}
+	held := time.Now()
+	armed, cancel := context.WithTimeout(ctx, armLimit)
+	err = s.each(armed, g, func(ctx context.Context, m Member) error {
+		return s.confirm(ctx, m, g.Epoch, Arm{Version: p.Version, Step: step}, orderTimeout, StatusBegun, StatusDone)
+	})
+	cancel()
+	if err == nil && !s.cfg.Allowed() {
+		err = errors.New("the lease has ended")
+	}
+	if err == nil {
+		err = s.release(ctx, g, step)
+		return time.Since(held), err
+	}
+	if errors.Is(err, ErrEpoch) {
+		return time.Since(held), err
+	}
+	abandon, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
+	defer cancel()
+	if undo := s.abandon(abandon, g, p, step); undo != nil {
+		return time.Since(held), errors.CombineErrors(ErrUnresolved, undo)
+	}
+	return time.Since(held), errors.CombineErrors(ErrAbandoned, err)
+}
+
+// prepare loads a map on all ranks.
+func (s *Switcher) prepare(ctx context.Context, g Group, order Prepare, loads int) error {
+	limit := 2*time.Second + 4*time.Duration(loads)*s.cfg.LoadTime
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := s.each(ctx, g, func(ctx context.Context, m Member) error {
+		return s.confirm(ctx, m, g.Epoch, order, mapTimeout, StatusBegun, StatusDone)
+	})
+	if err != nil || loads == 0 {
+		return err
+	}
+	if err := pause(ctx, time.Duration(loads)*s.cfg.LoadTime); err != nil {
+		return err
+	}
+	return s.each(ctx, g, func(ctx context.Context, m Member) error {
+		for {
+			err := s.confirm(ctx, m, g.Epoch, order, mapTimeout, StatusDone)
+			if !errors.Is(err, errStillLoading) {
+				return err
+			}
+			if err := pause(ctx, preparePoll); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+var errStillLoading = errors.New("the rank is still loading")
+
+// hold keeps the group from beginning a step ahead, by an order to its first rank. Two leaders cannot both hold the
+// group, since a rank has one hold at a time.
+func (s *Switcher) hold(ctx context.Context, g Group) (identifier.Step, error) {
+	guard := g.Members[0]
+	for range holdTries {
+		counts, err := s.cfg.Engines.Counts(ctx, guard)
+		if err != nil {
+			return 0, errors.CombineErrors(ErrAbandoned, err)
+		}
+		if counts.Epoch != g.Epoch {
+			return 0, ErrEpoch
+		}
+		step := counts.Step + stepsAhead
+		limited, cancel := context.WithTimeout(ctx, armLimit)
+		err = s.confirm(limited, guard, g.Epoch, Hold{Step: step}, orderTimeout, StatusBegun, StatusDone)
+		cancel()
+		switch {
+		case err == nil:
+			return step, nil
+		case errors.Is(err, errConflict):
+			continue
+		default:
+			// The hold may have been accepted without an answer.
+			return 0, errors.CombineErrors(ErrUnresolved, err)
+		}
+	}
+	return 0, errors.CombineErrors(ErrAbandoned, errors.New("no hold could be placed ahead of the group"))
+}
+
+func (s *Switcher) release(ctx context.Context, g Group, step identifier.Step) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
+	defer cancel()
+	err := s.confirm(ctx, g.Members[0], g.Epoch, Release{Step: step}, orderTimeout, StatusBegun, StatusDone)
+	if err != nil && !errors.Is(err, ErrEpoch) {
+		return errors.CombineErrors(ErrUnresolved, err)
+	}
+	return err
+}
+
+// abandon makes sure that no rank can take the new map, then lets the group go on.
+func (s *Switcher) abandon(ctx context.Context, g Group, p Plan, step identifier.Step) error {
+	if err := s.reset(ctx, g, p.Version, p.Fallback, p.From); err != nil {
+		return err
+	}
+	return s.release(ctx, g, step)
+}
+
+// reset disarms every rank and replaces the prepared version by a newer one with the map in use, so that an arm that is
+// still on its way is rejected.
+func (s *Switcher) reset(ctx context.Context, g Group, armed, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
+	return s.each(ctx, g, func(ctx context.Context, m Member) error {
+		for {
+			err := s.confirm(ctx, m, g.Epoch, Disarm{Version: armed}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
+			if err != nil {
+				return err
+			}
+			err = s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, mapTimeout, StatusBegun, StatusDone)
+			// A rank that was armed in between rejects the new version; it is disarmed again.
+			if !errors.Is(err, errConflict) {
+				return err
+			}
+			if err := pause(ctx, retryPause); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+// Recover ends what an earlier leader has left: it disarms all ranks, replaces what is prepared and ends the holds that
+// the reports show.
+func (s *Switcher) Recover(ctx context.Context, g Group, reports []Report, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
+	armed := identifier.MapVersion(0)
+	for _, r := range reports {
+		armed = max(armed, r.Armed)
+	}
+	if err := s.reset(ctx, g, armed, fallback, inUse); err != nil {
+		return err
+	}
+	for i, r := range reports {
+		if r.Held == nil {
+			continue
+		}
+		err := s.confirm(ctx, g.Members[i], g.Epoch, Release{Step: *r.Held}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var errConflict = errors.New("the order does not fit the state of the rank")
+
+// confirm repeats an order until the rank gives one of the wanted answers or refuses it.
+func (s *Switcher) confirm(ctx context.Context, m Member, epoch Epoch, o Order, timeout time.Duration, wanted ...Status) error {
+	for {
+		if !s.cfg.Allowed() {
+			return errors.New("the lease has ended")
+		}
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		status, err := s.cfg.Engines.Order(limited, m, epoch, o)
+		cancel()
+		if err == nil {
+			return judge(status, wanted)
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return errors.Wrapf(err, "no answer of %s to %T", m.Upstream, o)
+		}
+	}
+}
+
+func judge(status Status, wanted []Status) error {
+	for _, w := range wanted {
+		if status == w {
+			return nil
+		}
+	}
+	switch status {
+	case StatusBegun:
+		return errStillLoading
+	case StatusReplaced:
+		return ErrEpoch
+	case StatusConflict:
+		return errConflict
+	case StatusDone, StatusInvalid:
+	}
+	return errors.Newf("unexpected answer %d", status)
+}
+
+// each runs a function for all members at the same time and returns the first error.
+func (s *Switcher) each(ctx context.Context, g Group, do func(context.Context, Member) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var first error
+	for _, m := range g.Members {
+		group.Go(func() {
+			if err := do(ctx, m); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				if first == nil {
+					first = err
+					cancel()
+				}
+			}
+		})
+	}
+	group.Wait()
+	return first
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
