--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -20,6 +20,8 @@
 	Stopping      bool              `cbor:"stopping,omitempty"`
 	Leading       bool              `cbor:"leading,omitempty"`
 	Groups        map[string]bool   `cbor:"groups,omitempty"`
+	StoreLost     bool              `cbor:"storeLost,omitempty"`
+	Resigned      uint64            `cbor:"resigned,omitempty"`
 	Peers         []string          `cbor:"peers,omitempty"`
 }
 
@@ -36,6 +38,8 @@
 		Stopping:      s.Stopping,
 		Leading:       s.Leading,
 		Groups:        convert[string](s.Groups),
+		StoreLost:     s.StoreLost,
+		Resigned:      s.Resigned,
 		Peers:         s.Peers,
 	}
 	raw, err := cbor.Marshal(w)
@@ -59,6 +63,8 @@
 		Stopping:      w.Stopping,
 		Leading:       w.Leading,
 		Groups:        convert[identifier.Service](w.Groups),
+		StoreLost:     w.StoreLost,
+		Resigned:      w.Resigned,
 		Peers:         w.Peers,
 	}, nil
 }
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -48,6 +48,10 @@
 	// Leading is set for the leader of the expert maps. Groups holds which services' groups it sees working.
 	Leading bool
 	Groups  map[identifier.Service]bool
+	// StoreLost is set while the platform does not answer the gateway.
+	StoreLost bool
+	// Resigned is the version of the lease that the gateway has given up without being able to write so, or 0.
+	Resigned uint64
 	// Peers are datagram addresses of other gateways.
 	Peers []string
 }
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -20,7 +20,6 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
-	"currantledge.example/currantledge/internal/process/supervisor"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
@@ -74,8 +73,12 @@
 	stopping   chan struct{}
 	// rebuild wakes the actor that takes over changed tables.
 	rebuild chan struct{}
+	lease   *mapleader.Lease
 	leader  *mapleader.Leader
-	groups  *groupStates
+	// operators and upstreams follow the platform's tables.
+	operators *follower.Follower
+	upstreams *follower.Follower
+	groups    *groupStates
 	// behind holds since when a peer has had a higher version of a table.
 	behind map[replicator.Table]time.Time
 }
@@ -149,19 +152,24 @@
 		return nil, err
 	}
 	g.groups = newGroupStates(g.admitter)
+	g.operators = g.newFollower(platform.OperatorTable, false)
+	g.upstreams = g.newFollower(platform.UpstreamTable, true)
+	g.lease = mapleader.NewLease(mapleader.LeaseConfig{
+		Store:       g.store,
+		Node:        settings.Node,
+		Incarnation: g.gossiper.Incarnation(),
+		Dead:        g.dead,
+		Resigned:    g.resigned,
+	})
 	g.leader = mapleader.New(mapleader.Config{
-		Lease: mapleader.NewLease(mapleader.LeaseConfig{
-			Store:       g.store,
-			Node:        settings.Node,
-			Incarnation: g.gossiper.Incarnation(),
-			Dead:        g.dead,
-		}),
-		Engines:     platform.NewEngines(),
-		Fleet:       func() cataloguer.Fleet { return *g.fleet.Load() },
-		LeaderHeard: g.leaderHeard,
-		GroupState:  g.groups.seen,
-		Log:         g.log,
-		Meter:       g.meter,
+		Lease:        g.lease,
+		Engines:      platform.NewEngines(),
+		Fleet:        func() cataloguer.Fleet { return *g.fleet.Load() },
+		LeaderHeard:  g.leaderHeard,
+		OthersServed: g.othersServed,
+		GroupState:   g.groups.seen,
+		Log:          g.log,
+		Meter:        g.meter,
 	})
 	return g, nil
 }
@@ -184,6 +192,8 @@
 		platform.OperatorTable: g.replicator.Version(platform.OperatorTable),
 		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
 	}
+	s.StoreLost = g.operators.Lost()
+	s.Resigned = g.lease.Resigned()
 	if s.Leading = g.leader.Leading(); s.Leading {
 		s.Groups = g.groups.all()
 	}
@@ -345,7 +355,7 @@
 	}
 }
 
-func (g *gateway) follow(t replicator.Table, holdRemovals bool) supervisor.Actor {
+func (g *gateway) newFollower(t replicator.Table, holdRemovals bool) *follower.Follower {
 	return follower.New(follower.Config{
 		Store:        g.store,
 		Replicator:   g.replicator,
@@ -353,7 +363,7 @@
 		HoldRemovals: holdRemovals,
 		Log:          g.log,
 		Meter:        g.meter,
-	}).Run
+	})
 }
 
 func (g *gateway) listen(address string) (net.Listener, error) {
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -43,11 +43,15 @@
 	return maps.Clone(g.open)
 }
 
-// dead tells whether an incarnation of a gateway has ended: a later one of the same node was heard.
+// leaderSilence is how long the leader may be silent before another gateway takes over: three lost datagrams in a row.
+// A group that the leader was holding has to go on before clients leave after 2 s.
+const leaderSilence = 650 * time.Millisecond
+
+// dead tells whether an incarnation of a gateway has ended, since a later one of the same node was heard, or is silent.
 func (g *gateway) dead(node identifier.Node, incarnation identifier.Incarnation) bool {
 	for _, p := range g.gossiper.Peers() {
 		if p.Node == node {
-			return p.Incarnation > incarnation
+			return p.Incarnation > incarnation || time.Since(p.Heard) > leaderSilence
 		}
 	}
 	return false
@@ -56,7 +60,27 @@
 // leaderHeard tells whether another gateway leads and was heard lately.
 func (g *gateway) leaderHeard() bool {
 	for _, p := range g.gossiper.Peers() {
-		if p.Leading && !p.Silent {
+		if p.Leading && time.Since(p.Heard) < leaderSilence {
+			return true
+		}
+	}
+	return false
+}
+
+// resigned tells whether a peer has given up this version of the lease.
+func (g *gateway) resigned(version uint64) bool {
+	for _, p := range g.gossiper.Peers() {
+		if p.Resigned == version {
+			return true
+		}
+	}
+	return false
+}
+
+// othersServed tells whether the platform answers a peer.
+func (g *gateway) othersServed() bool {
+	for _, p := range g.gossiper.Peers() {
+		if !p.Silent && !p.StoreLost {
 			return true
 		}
 	}
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -58,6 +58,8 @@
 	Until time.Time
 	// Deadline is when its client stops waiting.
 	Deadline time.Time
+	// Returned is set if the client has come back after a refusal: it may not come again, so it waits as long as it can.
+	Returned bool
 	// Exclude holds upstreams that have had the request.
 	Exclude map[identifier.Upstream]bool
 }
@@ -102,10 +104,8 @@
 // Replaced means that another upstream has the address.
 type Replaced struct{}
 
-// GroupClosed means that the group of the upstream does not work, for the fault of another upstream if At is set.
-type GroupClosed struct {
-	At identifier.Upstream
-}
+// GroupClosed means that the group of the upstream does not work, for the fault of another upstream.
+type GroupClosed struct{}
 
 // Leaving means a complete answer after which the upstream closed the connection.
 type Leaving struct{}
@@ -130,8 +130,9 @@
 	fullPause = 40 * time.Millisecond
 	// leavingPause bridges the time until the list shows that an upstream leaves.
 	leavingPause = 300 * time.Millisecond
-	// probePause is the time between two requests that try a closed group.
-	probePause = 120 * time.Millisecond
+	// probePause is the time between two requests that try a closed group. Each costs a repeat; the leader of the expert
+	// maps reads the state of the group more often.
+	probePause = 350 * time.Millisecond
 	// usualOutage is how long a group is expected to be closed before one was seen to open again: a rank restarts in
 	// some seconds.
 	usualOutage = 4 * time.Second
@@ -148,6 +149,8 @@
 	queuedBeyondSlots = 0
 	// minRetryAfter keeps clients from coming back before anything can have changed.
 	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter is beyond what clients honour; refuse cuts it to that.
+	maxRetryAfter = time.Minute
 	// retryShare is the part of the time left up to which clients honour Retry-After.
 	retryShare = 3
 )
@@ -547,8 +550,10 @@
 	if s.closed {
 		elapsed := now.Sub(s.closedSince)
 		remaining := max(s.outage-elapsed, elapsed/2)
-		if now.Add(remaining).After(t.need.Until) {
-			return refuse(now, t, ReasonGroupClosed, remaining), true
+		if !t.need.Returned && now.Add(remaining).After(t.need.Until) {
+			// The end of the outage is a guess. A client that comes back too early is refused again and may give up, so it
+			// is sent away for as long as it honours.
+			return refuse(now, t, ReasonGroupClosed, maxRetryAfter), true
 		}
 		return Refused{}, false
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/requester"
-	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
@@ -195,8 +194,8 @@
 
 func (f *Forwarder) rejected(u cataloguer.Upstream, got *requester.Answer) result {
 	out := result{belief: admitter.Full{}, notRun: true, detail: "upstream is full"}
-	if culprit := got.Header.Get(f.cfg.Names.Culprit); culprit != "" && identifier.Upstream(culprit) != u.ID {
-		out.belief = admitter.GroupClosed{At: identifier.Upstream(culprit)}
+	if culprit := got.Header.Get(f.cfg.Names.Culprit); culprit != "" && culprit != u.Address {
+		out.belief = admitter.GroupClosed{}
 		out.detail = "group does not work, fault of " + culprit
 	}
 	return out
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -26,11 +26,14 @@
 	// defaultDeadline is assumed for clients that state none.
 	defaultDeadline = 30 * time.Second
 	// patienceMargin is the part of a client's patience that remains for the first event once an upstream was granted.
-	patienceMargin = 500 * time.Millisecond
+	patienceMargin = 300 * time.Millisecond
 	// serveShare is the part of the time left that remains for the upstream once it was granted.
 	serveShare = 4
 	// answerMargin is kept from the deadline, so that the final answer still reaches the client.
 	answerMargin = 15 * time.Millisecond
+	// returnedShare is the part of the route's timeout below which a client's deadline shows that it was refused before:
+	// clients honour Retry-After up to a third of the time they have.
+	returnedShare = 0.75
 	// minDeadline is the shortest time that is worth handing to an upstream.
 	minDeadline = 10 * time.Millisecond
 	// unknownRetryAfter is sent while no configuration is known.
@@ -55,7 +58,7 @@
 	Stamp string
 	// NotRun marks an answer whose request did not run.
 	NotRun string
-	// Culprit names the upstream at whose fault a request was rejected.
+	// Culprit holds the address of the upstream at whose fault a request was rejected.
 	Culprit string
 	// LastEvent holds the id of the last event that the client has.
 	LastEvent string
@@ -108,6 +111,8 @@
 	until     time.Time
 	body      []byte
 	lastEvent string
+	// returned is set if the client was probably refused before.
+	returned bool
 	tried     map[identifier.Upstream]bool
 	// sends counts the requests that may have reached an upstream, runs those that may have run.
 	sends  int
@@ -190,6 +195,7 @@
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
 	if c.route.Timeout > 0 {
+		c.returned = left < time.Duration(returnedShare*float64(c.route.Timeout))
 		left = min(left, c.route.Timeout)
 	}
 	c.deadline = c.arrived.Add(left - answerMargin)
@@ -239,6 +245,7 @@
 		Priority: cataloguer.Priority(c.route, c.owner),
 		Until:    c.until,
 		Deadline: c.deadline,
+		Returned: c.returned,
 		Exclude:  c.tried,
 	})
 	select {
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +49,7 @@
 	after uint64
 	// full is set if the next call has to read the whole table.
 	full       bool
-	failing    bool
+	failing    atomic.Bool
 	lastGood   time.Time
 	failedCall int
 }
@@ -74,6 +75,11 @@
 	return nil
 }
 
+// Lost tells whether the last call of the platform failed.
+func (f *Follower) Lost() bool {
+	return f.failing.Load()
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if f.full {
 		rows, version, err := f.cfg.Store.Read(ctx, f.cfg.Table)
@@ -100,10 +106,9 @@
 	away := now.Sub(f.lastGood)
 	f.lastGood = now
 	f.failedCall = 0
-	if !f.failing {
+	if !f.failing.CompareAndSwap(true, false) {
 		return
 	}
-	f.failing = false
 	if away > outageAfter {
 		f.cfg.Replicator.Returned(now)
 	}
@@ -119,8 +124,7 @@
 	}
 	f.cfg.Meter.Add(meter.StoreFailures)
 	f.failedCall++
-	if !f.failing {
-		f.failing = true
+	if f.failing.CompareAndSwap(false, true) {
 		f.cfg.Log.Event(logger.EventStoreLost).Str("table", string(f.cfg.Table)).AnErr("error", err).
 			Uint64("version", f.after).Send()
 	}
--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -22,6 +22,8 @@
 	// that run at about the same rate.
 	takeoverMargin = 300 * time.Millisecond
 	renewInterval  = time.Second
+	// resignAfter leaves room for one failed renewal and its repetition.
+	resignAfter = 2500 * time.Millisecond
 )
 
 // Store is what the lease needs of the platform.
@@ -37,8 +39,11 @@
 	Incarnation identifier.Incarnation
 	// Now returns the time since the VM started, suspensions included.
 	Now func() time.Duration
-	// Dead tells whether an incarnation of a node is known to have ended.
+	// Dead tells whether an incarnation of a node is known to have ended or has been silent for a while. A silent holder
+	// may still act: the orders of two leaders do no harm (see mapswitcher), the lease only keeps that rare.
 	Dead func(identifier.Node, identifier.Incarnation) bool
+	// Resigned tells whether the holder of a version of the row has said that it will give no more orders.
+	Resigned func(version uint64) bool
 }
 
 // Lease is a row of the platform that at most one process holds.
@@ -48,6 +53,8 @@
 	// version is that of the row while the lease is held, else 0.
 	version uint64
 	renewed time.Duration
+	// resigned is the version of the row that this process has given up without being able to write so.
+	resigned uint64
 	// seen and seenAt are the newest version of a foreign holder and when it was first seen.
 	seen   uint64
 	seenAt time.Duration
@@ -101,6 +108,25 @@
 	return l.write(ctx, version, false)
 }
 
+// Resign gives the lease up if it could not be renewed for a while, as when the platform turns this VM away: peers that
+// learn of the version take over without waiting for the term to pass. It tells whether the lease was given up.
+func (l *Lease) Resign() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.version == 0 || l.cfg.Now()-l.renewed < resignAfter {
+		return false
+	}
+	l.resigned, l.version = l.version, 0
+	return true
+}
+
+// Resigned returns the version of the row that this process has given up, or 0.
+func (l *Lease) Resigned() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.resigned
+}
+
 // Claim tries to take the lease if nobody can hold it.
 func (l *Lease) Claim(ctx context.Context) (bool, error) {
 	row, err := l.cfg.Store.ReadRow(ctx, leaseTable, leaseKey)
@@ -114,7 +140,7 @@
 }
 
 func (l *Lease) free(row replicator.Row) bool {
-	if row.Version == 0 {
+	if row.Version == 0 || l.cfg.Resigned(row.Version) {
 		return true
 	}
 	var w wireLease
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -29,8 +29,6 @@
 	callTimeout = 300 * time.Millisecond
 	// leaseInterval is how often the lease is looked after.
 	leaseInterval = 250 * time.Millisecond
-	// reportLag is how far reports may be behind; a new leader waits that long before it trusts one.
-	reportLag = 500 * time.Millisecond
 	// minSkewGain is the gain in skew for which a switch is worth its orders and the slower passes while ranks load.
 	minSkewGain = 0.05
 	// sampledRanks is the number of ranks whose counts are read. Requests are spread evenly over the ranks, so a part of
@@ -50,6 +48,8 @@
 	Fleet   func() cataloguer.Fleet
 	// LeaderHeard tells whether another gateway leads and was heard lately.
 	LeaderHeard func() bool
+	// OthersServed tells whether the platform answers other gateways.
+	OthersServed func() bool
 	// GroupState is called when the leader sees that the group of a service works or not.
 	GroupState func(s identifier.Service, open bool)
 	Log        *logger.Logger
@@ -62,6 +62,8 @@
 	leading atomic.Bool
 	tenure  uint64
 	version uint64
+	// working is held while orders are given, so that the lease is not resigned in between.
+	working sync.Mutex
 }
 
 // New returns a Leader.
@@ -100,7 +102,7 @@
 	var err error
 	switch {
 	case was:
-		now, err = l.cfg.Lease.Renew(ctx)
+		now, err = l.renew(ctx)
 	case !l.hasGroups() || l.cfg.LeaderHeard():
 		return
 	default:
@@ -116,6 +118,19 @@
 	}
 }
 
+// renew prolongs the lease, or gives it up between two switches if the platform does not answer this VM.
+func (l *Leader) renew(ctx context.Context) (bool, error) {
+	held, err := l.cfg.Lease.Renew(ctx)
+	if !held || err == nil || !l.cfg.OthersServed() {
+		return held, err
+	}
+	if !l.working.TryLock() {
+		return held, err
+	}
+	defer l.working.Unlock()
+	return !l.cfg.Lease.Resign(), err
+}
+
 func (l *Leader) hasGroups() bool {
 	return len(l.groupServices()) > 0
 }
@@ -147,11 +162,13 @@
 			l.tenure = fence
 		}
 		complete := true
+		l.working.Lock()
 		for _, s := range l.groupServices() {
-			if !l.tend(ctx, s, keepers) {
+			if l.Leading() && !l.tend(ctx, s, keepers) {
 				complete = false
 			}
 		}
+		l.working.Unlock()
 		if complete {
 			wait(ctx, countInterval)
 		} else {
@@ -177,6 +194,8 @@
 	layout    rebalancer.Layout
 	estimator *estimator
 	switcher  *mapswitcher.Switcher
+	// step is where the ranks take the newest map.
+	step identifier.Step
 	// unresolved is set if the group may be held.
 	unresolved bool
 }
@@ -349,9 +368,9 @@
 	return nil
 }
 
-// recoverGroup ends what an earlier leader or a failed switch has left.
+// recoverGroup ends what an earlier leader or a failed switch has left. The caller has been in charge, or the earlier
+// leader silent, for longer than reports lag.
 func (l *Leader) recoverGroup(ctx context.Context, k *keeper) error {
-	wait(ctx, reportLag)
 	reports, errs := gather(ctx, k.group.Members, l.cfg.Engines.Report)
 	for i, r := range reports {
 		if errs[i] != nil {
@@ -365,6 +384,9 @@
 		return err
 	}
 	k.unresolved = false
+	if err := l.readLayout(ctx, k); err != nil {
+		return err
+	}
 	l.cfg.Log.Event(logger.EventHoldReleased).Str("group", string(k.group.Name)).Uint64("epoch", uint64(k.group.Epoch)).Send()
 	return nil
 }
@@ -393,6 +415,10 @@
 		}
 	}
 	k.estimator.observe(time.Now(), counts)
+	if counts[0].Step < k.step {
+		// The ranks are still armed for the last switch and take no new map.
+		return nil
+	}
 	engine := k.service.Engine
 	popularity := k.estimator.popularity()
 	next := rebalancer.Improve(k.layout, popularity, rebalancer.Shape{
@@ -414,7 +440,8 @@
 		To:       next,
 		Loads:    rebalancer.Loads(k.layout, next),
 	}
-	held, err := k.switcher.Switch(ctx, k.group, plan)
+	result, err := k.switcher.Switch(ctx, k.group, plan)
+	k.step = result.Step
 	event, count := logger.EventMapSwitched, meter.MapSwitches
 	if err != nil {
 		event, count = logger.EventMapAbandoned, meter.MapsAbandoned
@@ -422,7 +449,7 @@
 	l.cfg.Meter.Add(count)
 	l.cfg.Log.Event(event).Str("group", string(k.group.Name)).Uint64("epoch", uint64(k.group.Epoch)).
 		Uint64("version", uint64(plan.Version)).Float64("skewBefore", before).Float64("skewAfter", after).
-		Int("loads", plan.Loads).Dur("tookMs", time.Since(started)).Dur("heldMs", held).AnErr("error", err).Send()
+		Int("loads", plan.Loads).Dur("tookMs", time.Since(started)).Dur("heldMs", result.Held).AnErr("error", err).Send()
 	switch {
 	case err == nil:
 		k.layout = next
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -141,6 +141,8 @@
 	holdTries = 4
 	// armLimit bounds the time that the group may be held for missing confirmations; clients leave after 2 s.
 	armLimit = 900 * time.Millisecond
+	// reportLag is how far the report of a rank may be behind.
+	reportLag = 300 * time.Millisecond
 	// abandonLimit bounds the attempt to disarm and release; the group is of no use while it lasts.
 	abandonLimit = 10 * time.Second
 )
@@ -185,16 +187,25 @@
 	Loads int
 }
 
-// Switch carries out a plan. It returns how long the group may have been held.
-func (s *Switcher) Switch(ctx context.Context, g Group, p Plan) (time.Duration, error) {
+// Result tells how a switch went.
+type Result struct {
+	// Step is the step at which the ranks take the new map.
+	Step identifier.Step
+	// Held is how long the group may have been held.
+	Held time.Duration
+}
+
+// Switch carries out a plan.
+func (s *Switcher) Switch(ctx context.Context, g Group, p Plan) (Result, error) {
 	if err := s.prepare(ctx, g, Prepare{Version: p.Version, Layout: p.To}, p.Loads); err != nil {
-		return 0, err
+		return Result{}, err
 	}
 	step, err := s.hold(ctx, g)
 	if err != nil {
-		return 0, err
+		return Result{}, err
 	}
 	held := time.Now()
+	result := func() Result { return Result{Step: step, Held: time.Since(held)} }
 	armed, cancel := context.WithTimeout(ctx, armLimit)
 	err = s.each(armed, g, func(ctx context.Context, m Member) error {
 		return s.confirm(ctx, m, g.Epoch, Arm{Version: p.Version, Step: step}, orderTimeout, StatusBegun, StatusDone)
@@ -205,17 +216,17 @@
 	}
 	if err == nil {
 		err = s.release(ctx, g, step)
-		return time.Since(held), err
+		return result(), err
 	}
 	if errors.Is(err, ErrEpoch) {
-		return time.Since(held), err
+		return result(), err
 	}
 	abandon, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
 	defer cancel()
 	if undo := s.abandon(abandon, g, p, step); undo != nil {
-		return time.Since(held), errors.CombineErrors(ErrUnresolved, undo)
+		return result(), errors.CombineErrors(ErrUnresolved, undo)
 	}
-	return time.Since(held), errors.CombineErrors(ErrAbandoned, err)
+	return result(), errors.CombineErrors(ErrAbandoned, err)
 }
 
 // prepare loads a map on all ranks.
@@ -299,37 +310,73 @@
 func (s *Switcher) reset(ctx context.Context, g Group, armed, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
 	return s.each(ctx, g, func(ctx context.Context, m Member) error {
 		for {
-			err := s.confirm(ctx, m, g.Epoch, Disarm{Version: armed}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
-			if err != nil {
+			if err := s.disarm(ctx, m, g.Epoch, armed); err != nil {
 				return err
 			}
-			err = s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, mapTimeout, StatusBegun, StatusDone)
-			// A rank that was armed in between rejects the new version; it is disarmed again.
+			err := s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, mapTimeout, StatusBegun, StatusDone)
 			if !errors.Is(err, errConflict) {
 				return err
 			}
-			if err := pause(ctx, retryPause); err != nil {
+			// The rank is armed again by an order that was on its way, or it has a newer version from another leader.
+			report, err := s.cfg.Engines.Report(ctx, m)
+			if err == nil && report.Armed == 0 && max(report.Prepared, report.Map) > armed {
+				return nil
+			}
+			armed = max(armed, report.Armed)
+			if err := pause(ctx, reportLag); err != nil {
 				return err
 			}
 		}
 	})
 }
 
-// Recover ends what an earlier leader has left: it disarms all ranks, replaces what is prepared and ends the holds that
-// the reports show.
+func (s *Switcher) disarm(ctx context.Context, m Member, epoch Epoch, version identifier.MapVersion) error {
+	if version == 0 {
+		return nil
+	}
+	return s.confirm(ctx, m, epoch, Disarm{Version: version}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
+}
+
+// ErrMoving means that an earlier switch is taking effect; read the group again a little later.
+var ErrMoving = errors.New("an earlier switch is taking effect; read the group again")
+
+// Recover ends what an earlier leader has left. That leader may still be alive and about to let the group go on with
+// some ranks disarmed, so Recover first places a hold of its own, on another rank.
 func (s *Switcher) Recover(ctx context.Context, g Group, reports []Report, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
-	armed := identifier.MapVersion(0)
-	for _, r := range reports {
+	armed, step, guard := identifier.MapVersion(0), identifier.Step(0), none
+	for i, r := range reports {
 		armed = max(armed, r.Armed)
+		if r.Held != nil {
+			step = max(step, *r.Held)
+		} else {
+			guard = i
+		}
+	}
+	if step == 0 && armed == 0 {
+		return nil
+	}
+	if step == 0 || guard == none {
+		return ErrMoving
+	}
+	own := Hold{Step: step}
+	err := s.confirm(ctx, g.Members[guard], g.Epoch, own, orderTimeout, StatusBegun, StatusDone)
+	if errors.Is(err, errConflict) {
+		return ErrMoving
+	}
+	if err != nil {
+		return err
 	}
 	if err := s.reset(ctx, g, armed, fallback, inUse); err != nil {
 		return err
 	}
 	for i, r := range reports {
-		if r.Held == nil {
+		held := step
+		if r.Held != nil {
+			held = *r.Held
+		} else if i != guard {
 			continue
 		}
-		err := s.confirm(ctx, g.Members[i], g.Epoch, Release{Step: *r.Held}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
+		err := s.confirm(ctx, g.Members[i], g.Epoch, Release{Step: held}, orderTimeout, StatusBegun, StatusDone, StatusConflict)
 		if err != nil {
 			return err
 		}
@@ -337,6 +384,9 @@
 	return nil
 }
 
+// none stands for no rank.
+const none = -1
+
 var errConflict = errors.New("the order does not fit the state of the rank")
 
 // confirm repeats an order until the rank gives one of the wanted answers or refuses it.
