Serve requests that can be on time first after an outage; see closed and stalled groups at once

Cause: after the ranks of a zone had been away, all requests stayed late for 10 s: those that had waited went first and made every new one late as well. Rejections of a broken group were taken for full upstreams (both carry the rank's own address in At-Server), so each new request used up a repeat.

Change: the queue serves requests that can still meet their objective before late ones; a rank that rejects with free slots, and a group whose streams all stand still for 0.6 s, count as closed; Retry-After is as long as clients honour while the end of an outage is unknown; popularity of the experts outlives the epoch of a group. Ruled out: more probes of a closed group (they used up the retry budget).

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -54,6 +54,10 @@
 type Need struct {
 	Service  identifier.Service
 	Priority int
+	// OnTime is until when a grant still lets the answer begin within its objective. Requests that can be on time go before
+	// those that are late already: a request that is late gains nothing by being less late, and one that waits behind it
+	// becomes late as well.
+	OnTime time.Time
 	// Until is when the request has to be granted at the latest to be served in time.
 	Until time.Time
 	// Deadline is when its client stops waiting.
@@ -98,15 +102,22 @@
 // Unreachable means that no connection could be made.
 type Unreachable struct{}
 
-// Full means that the upstream rejected the request without running it.
-type Full struct{}
+// Load is what an upstream says of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Rejected means that the upstream did not run the request.
+type Rejected struct {
+	Load      Load
+	LoadKnown bool
+}
 
 // Replaced means that another upstream has the address.
 type Replaced struct{}
 
-// GroupClosed means that the group of the upstream does not work, for the fault of another upstream.
-type GroupClosed struct{}
-
 // Leaving means a complete answer after which the upstream closed the connection.
 type Leaving struct{}
 
@@ -116,9 +127,8 @@
 func (Served) outcome()      {}
 func (Failed) outcome()      {}
 func (Unreachable) outcome() {}
-func (Full) outcome()        {}
+func (Rejected) outcome()    {}
 func (Replaced) outcome()    {}
-func (GroupClosed) outcome() {}
 func (Leaving) outcome()     {}
 func (Cancelled) outcome()   {}
 
@@ -130,6 +140,10 @@
 	fullPause = 40 * time.Millisecond
 	// leavingPause bridges the time until the list shows that an upstream leaves.
 	leavingPause = 300 * time.Millisecond
+	// stallAfter is several times the longest usual pause between the events of a group, and stallStreams is the number of
+	// running requests for which none of them progressing is no chance.
+	stallAfter   = 600 * time.Millisecond
+	stallStreams = 3
 	// probePause is the time between two requests that try a closed group. Each costs a repeat; the leader of the expert
 	// maps reads the state of the group more often.
 	probePause = 350 * time.Millisecond
@@ -179,6 +193,7 @@
 	cataloguer.Service
 	whole       time.Duration
 	queue       []*Ticket
+	progressed  time.Time
 	closed      bool
 	closedSince time.Time
 	lastProbe   time.Time
@@ -312,22 +327,47 @@
 	a.serial++
 	t := &Ticket{need: need, arrived: now, serial: a.serial, result: make(chan Decision, 1)}
 	s := a.service(need.Service)
-	if len(s.queue) == 0 || need.Priority < s.queue[0].need.Priority {
-		if a.grant(now, s, t) {
-			return t
-		}
+	at := s.place(now, t)
+	if at == 0 && a.grant(now, s, t) {
+		return t
 	}
+	s.queue = slices.Insert(s.queue, at, t)
 	if refusal, refused := a.judge(now, s, t); refused {
+		s.queue = slices.Delete(s.queue, at, at+1)
 		t.resolve(refusal)
-		return t
 	}
-	at, _ := slices.BinarySearchFunc(s.queue, t, func(x, y *Ticket) int {
-		return cmp.Or(cmp.Compare(x.need.Priority, y.need.Priority), cmp.Compare(x.serial, y.serial))
-	})
-	s.queue = slices.Insert(s.queue, at, t)
 	return t
 }
 
+// order tells which of two waiting requests goes first.
+func order(now time.Time, x, y *Ticket) int {
+	return cmp.Or(
+		cmp.Compare(x.need.Priority, y.need.Priority),
+		cmp.Compare(x.lateness(now), y.lateness(now)),
+		cmp.Compare(x.serial, y.serial),
+	)
+}
+
+// lateness is 0 for a request that can still be on time and 1 for others.
+func (t *Ticket) lateness(now time.Time) int {
+	if now.Before(t.need.OnTime) {
+		return 0
+	}
+	return 1
+}
+
+// place returns the position of a request in the queue.
+func (s *service) place(now time.Time, t *Ticket) int {
+	s.sort(now)
+	at, _ := slices.BinarySearchFunc(s.queue, t, func(x, y *Ticket) int { return order(now, x, y) })
+	return at
+}
+
+// sort brings the queue into order; requests become late while they wait.
+func (s *service) sort(now time.Time) {
+	slices.SortFunc(s.queue, func(x, y *Ticket) int { return order(now, x, y) })
+}
+
 // Withdraw takes a request out of the queue. If it was granted meanwhile, the grant is given back.
 func (a *Admitter) Withdraw(now time.Time, t *Ticket) {
 	a.mu.Lock()
@@ -372,12 +412,14 @@
 	case Unreachable:
 		u.pause = min(max(2*u.pause, unreachablePause), maxUnreachablePause)
 		u.pausedTill = now.Add(u.pause)
-	case Full:
+	case Rejected:
 		u.pausedTill = now.Add(fullPause)
+		// A rank with free slots rejects requests only while its group does not work.
+		if r.LoadKnown && r.Load.Running < r.Load.Slots && r.Load.Waiting == 0 {
+			a.closeGroup(now, s)
+		}
 	case Replaced:
 		u.pausedTill = now.Add(maxUnreachablePause)
-	case GroupClosed:
-		a.closeGroup(now, s)
 	case Leaving:
 		a.open(now, s)
 		u.pausedTill = now.Add(leavingPause)
@@ -386,6 +428,35 @@
 	a.dispatch(now)
 }
 
+// Progressed tells that a stream of a service has received something.
+func (a *Admitter) Progressed(now time.Time, name identifier.Service) {
+	a.mu.Lock()
+	defer a.unlock()
+	s := a.service(name)
+	s.progressed = now
+	a.open(now, s)
+}
+
+// stalled tells whether a group with running requests has produced nothing for a while: its ranks wait for one that is
+// gone, and reject new requests only once that is certain.
+func (a *Admitter) stalled(now time.Time, s *service) bool {
+	if s.Engine == nil || now.Sub(s.progressed) < stallAfter {
+		return false
+	}
+	return a.running(s) >= stallStreams
+}
+
+// running counts the requests of this gateway at a service.
+func (a *Admitter) running(s *service) int {
+	running := 0
+	for _, u := range a.upstreams {
+		if u.Service == s.Name {
+			running += u.running
+		}
+	}
+	return running
+}
+
 // GroupOpened tells that the group of a service works again.
 func (a *Admitter) GroupOpened(now time.Time, name identifier.Service) {
 	a.mu.Lock()
@@ -435,6 +506,7 @@
 // dispatch grants and refuses waiting requests in order.
 func (a *Admitter) dispatch(now time.Time) {
 	for _, s := range a.services {
+		s.sort(now)
 		kept := s.queue[:0]
 		blocked := false
 		for _, t := range s.queue {
@@ -458,6 +530,9 @@
 
 // grant gives the request an upstream if one can take it now.
 func (a *Admitter) grant(now time.Time, s *service, t *Ticket) bool {
+	if !s.closed && a.stalled(now, s) {
+		a.closeGroup(now, s)
+	}
 	if s.closed {
 		if now.Sub(s.lastProbe) < probePause {
 			return false
@@ -469,6 +544,10 @@
 		return false
 	}
 	load := best.running + best.peers
+	if a.running(s) == 0 {
+		// Nothing could progress before.
+		s.progressed = now
+	}
 	best.running++
 	best.cold.next = now.Add(a.coldSpacing(s))
 	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load})
@@ -566,15 +645,9 @@
 	return Refused{}, false
 }
 
+// ahead counts the requests that go before one in the queue.
 func (a *Admitter) ahead(s *service, t *Ticket) int {
-	n := 0
-	for _, other := range s.queue {
-		if other == t || other.need.Priority > t.need.Priority {
-			break
-		}
-		n++
-	}
-	return n
+	return max(slices.Index(s.queue, t), 0)
 }
 
 func refuse(now time.Time, t *Ticket, reason Reason, wait time.Duration) Refused {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -93,7 +93,7 @@
 		return f.failed(r.Context(), c, err)
 	}
 	defer got.Close()
-	return f.receive(r.Context(), c, s, u, got, sent)
+	return f.receive(r.Context(), c, s, got, sent)
 }
 
 // headWait returns how long a repeatable request waits for its answer before it goes elsewhere; 0 sets no limit.
@@ -150,13 +150,13 @@
 }
 
 // receive judges the head of an answer and passes on its body.
-func (f *Forwarder) receive(client context.Context, c *call, s *stream, u cataloguer.Upstream, got *requester.Answer, sent time.Time) result {
+func (f *Forwarder) receive(client context.Context, c *call, s *stream, got *requester.Answer, sent time.Time) result {
 	n := f.cfg.Names
 	switch {
 	case got.Status == http.StatusMisdirectedRequest:
 		return result{belief: admitter.Replaced{}, notRun: true, detail: "another upstream has the address"}
 	case got.Header.Get(n.NotRun) != "":
-		return f.rejected(u, got)
+		return f.rejected(got)
 	case got.Header.Get(n.RequestID) != c.id:
 		return result{belief: admitter.Failed{}, detail: "answer belongs to another request"}
 	case got.Header.Get(n.Stamp) == "" && got.Status < http.StatusMultipleChoices:
@@ -192,13 +192,31 @@
 	return admitter.Served{First: first, Whole: time.Since(sent)}
 }
 
-func (f *Forwarder) rejected(u cataloguer.Upstream, got *requester.Answer) result {
-	out := result{belief: admitter.Full{}, notRun: true, detail: "upstream is full"}
-	if culprit := got.Header.Get(f.cfg.Names.Culprit); culprit != "" && culprit != u.Address {
-		out.belief = admitter.GroupClosed{}
-		out.detail = "group does not work, fault of " + culprit
+// rejected reads an upstream's statement that it did not run the request.
+func (f *Forwarder) rejected(got *requester.Answer) result {
+	load, known := parseLoad(got.Header.Get(f.cfg.Names.Load))
+	detail := "upstream rejected the request with " + strconv.Itoa(got.Status)
+	if known {
+		detail += ", load " + got.Header.Get(f.cfg.Names.Load)
 	}
-	return out
+	return result{belief: admitter.Rejected{Load: load, LoadKnown: known}, notRun: true, detail: detail}
+}
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(text string) (admitter.Load, bool) {
+	var l admitter.Load
+	fields := strings.Split(text, ",")
+	if len(fields) != 3 {
+		return l, false
+	}
+	for i, into := range []*int{&l.Running, &l.Waiting, &l.Slots} {
+		n, err := strconv.Atoi(strings.TrimSpace(fields[i]))
+		if err != nil {
+			return l, false
+		}
+		*into = n
+	}
+	return l, true
 }
 
 // receiveLarge passes on an answer that is too large to hold back.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	patienceMargin = 300 * time.Millisecond
 	// serveShare is the part of the time left that remains for the upstream once it was granted.
 	serveShare = 4
+	// onTimeShare divides the objective into the time that a request may wait and the time until its answer begins.
+	onTimeShare = 2
 	// answerMargin is kept from the deadline, so that the final answer still reaches the client.
 	answerMargin = 15 * time.Millisecond
 	// returnedShare is the part of the route's timeout below which a client's deadline shows that it was refused before:
@@ -38,6 +40,8 @@
 	minDeadline = 10 * time.Millisecond
 	// unknownRetryAfter is sent while no configuration is known.
 	unknownRetryAfter = 300 * time.Millisecond
+	// retryShare is the part of the time left up to which clients honour Retry-After.
+	retryShare = 3
 	// maxUnsent bounds the upstreams that are tried without the request reaching one.
 	maxUnsent = 6
 )
@@ -58,8 +62,8 @@
 	Stamp string
 	// NotRun marks an answer whose request did not run.
 	NotRun string
-	// Culprit holds the address of the upstream at whose fault a request was rejected.
-	Culprit string
+	// Load holds the running and waiting requests and the slots of an upstream, separated by commas.
+	Load string
 	// LastEvent holds the id of the last event that the client has.
 	LastEvent string
 	// Priority orders requests at an engine; 0 goes first.
@@ -109,11 +113,12 @@
 	arrived   time.Time
 	deadline  time.Time
 	until     time.Time
+	onTime    time.Time
 	body      []byte
 	lastEvent string
 	// returned is set if the client was probably refused before.
 	returned bool
-	tried     map[identifier.Upstream]bool
+	tried    map[identifier.Upstream]bool
 	// sends counts the requests that may have reached an upstream, runs those that may have run.
 	sends  int
 	runs   int
@@ -200,6 +205,9 @@
 	}
 	c.deadline = c.arrived.Add(left - answerMargin)
 	c.until = c.arrived.Add(left - left/serveShare)
+	if !c.returned {
+		c.onTime = c.arrived.Add(c.route.Objective / onTimeShare)
+	}
 	if patience := c.route.Patience(); patience > 0 {
 		c.until = minTime(c.until, c.arrived.Add(patience-patienceMargin))
 	}
@@ -238,11 +246,13 @@
 		return admitter.Refused{Reason: admitter.ReasonNoUpstream, RetryAfter: unknownRetryAfter}
 	}
 	if c.sends > 0 && !f.cfg.Budgeter.Take(now, c.service) {
-		return admitter.Refused{Reason: ReasonBudget, RetryAfter: unknownRetryAfter}
+		// Repeats become free as the window of the budget moves on, which takes seconds.
+		return admitter.Refused{Reason: ReasonBudget, RetryAfter: time.Until(c.deadline) / retryShare}
 	}
 	ticket := f.cfg.Admitter.Request(now, admitter.Need{
 		Service:  c.service,
 		Priority: cataloguer.Priority(c.route, c.owner),
+		OnTime:   c.onTime,
 		Until:    c.until,
 		Deadline: c.deadline,
 		Returned: c.returned,
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -123,6 +123,7 @@
 	for {
 		n, err := got.Body.Read(buffer)
 		if n > 0 {
+			f.cfg.Admitter.Progressed(time.Now(), c.service)
 			if first == 0 {
 				first = time.Since(sent)
 			}
--- a/internal/version/mapleader/estimator.go
+++ b/internal/version/mapleader/estimator.go
@@ -20,11 +20,16 @@
 	level   [][]float64
 }
 
-func newEstimator(sets, experts, ranks int) *estimator {
+// newEstimator returns an estimator for a group that has just formed. What was in demand before still is; without it, the
+// first counts are all that is known.
+func newEstimator(sets, experts, ranks int, before *estimator) *estimator {
 	e := &estimator{sets: sets, experts: experts, last: make([][]float64, ranks), level: make([][]float64, sets)}
 	for s := range e.level {
 		e.level[s] = make([]float64, experts)
 	}
+	if before != nil && before.sets == sets && before.experts == experts {
+		e.level, e.lastAt = before.level, before.lastAt
+	}
 	return e
 }
 
@@ -35,13 +40,15 @@
 		if len(c.Counts) != len(sample) {
 			continue
 		}
+		// The first counts of a rank go back to its start; they only show present demand if nothing else does.
+		first := e.last[r] == nil
 		for i, n := range c.Counts {
-			grown := n
-			// A rank that started anew counts from zero.
-			if e.last[r] != nil && n >= e.last[r][i] {
-				grown -= e.last[r][i]
+			switch {
+			case first && e.lastAt.IsZero():
+				sample[i] += n
+			case !first && n >= e.last[r][i]:
+				sample[i] += n - e.last[r][i]
 			}
-			sample[i] += grown
 		}
 		e.last[r] = c.Counts
 	}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -24,7 +24,7 @@
 	// countInterval is how often the counts are read; each read pauses a group for half a millisecond per 400 numbers.
 	countInterval = 400 * time.Millisecond
 	// rosterPause is the pause before a group that is not complete is read again.
-	rosterPause = 250 * time.Millisecond
+	rosterPause = 150 * time.Millisecond
 	// callTimeout bounds one call of a rank.
 	callTimeout = 300 * time.Millisecond
 	// leaseInterval is how often the lease is looked after.
@@ -62,13 +62,15 @@
 	leading atomic.Bool
 	tenure  uint64
 	version uint64
+	// demand holds the last estimator of each service.
+	demand map[identifier.Service]*estimator
 	// working is held while orders are given, so that the lease is not resigned in between.
 	working sync.Mutex
 }
 
 // New returns a Leader.
 func New(cfg Config) *Leader {
-	return &Leader{cfg: cfg}
+	return &Leader{cfg: cfg, demand: map[identifier.Service]*estimator{}}
 }
 
 // Leading tells whether this gateway leads.
@@ -328,13 +330,14 @@
 	k := &keeper{
 		service:   s,
 		group:     mapswitcher.Group{Name: name, Epoch: g.reports[0].Epoch, Members: g.members},
-		estimator: newEstimator(s.Engine.Sets, s.Engine.Experts, len(g.members)),
+		estimator: newEstimator(s.Engine.Sets, s.Engine.Experts, len(g.members), l.demand[s.Name]),
 		switcher: mapswitcher.New(mapswitcher.Config{
 			Engines:  l.cfg.Engines,
 			Allowed:  l.Leading,
 			LoadTime: s.Engine.ExpertLoadTime,
 		}),
 	}
+	l.demand[s.Name] = k.estimator
 	if err := l.readLayout(ctx, k); err != nil {
 		return nil, err
 	}
