Test the decisions of gateways; let Freeze return once all threads stand still

TestFreezeAndThaw failed about once in six runs: SIGSTOP stops the threads one after the other, and a request right after the signal was still answered.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -155,7 +155,7 @@
 			written <- err
 		}()
 	}
-	response, err := readHead(conn.reader, q.Method)
+	response, err := readHead(conn.reader, q.Method) //nolint:bodyclose // Close ends the connection; closing the body would read it to its end first.
 	if err != nil {
 		return fail(err, "read the head of the answer")
 	}
--- a/internal/prover/launcher/process.go
+++ b/internal/prover/launcher/process.go
@@ -1,10 +1,13 @@
 package launcher
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -15,6 +18,9 @@
 const (
 	readyPollInterval = 20 * time.Millisecond
 	readyPollTimeout  = time.Second
+	freezePoll        = time.Millisecond
+	// freezeTimeout is far above the time in which a loaded machine stops the threads of a process.
+	freezeTimeout = 5 * time.Second
 	// tailLines is how much of a log is shown when a process fails.
 	tailLines = 20
 )
@@ -91,7 +97,38 @@
 
 // Freeze pauses the process, which does not notice it.
 func (p *Process) Freeze() error {
-	return p.signal(syscall.SIGSTOP)
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	// The signal stops the threads one after the other; until the last has stopped, the process may still answer.
+	deadline := time.Now().Add(freezeTimeout)
+	for !stopped(p.PID()) {
+		if time.Now().After(deadline) {
+			return errors.Newf("%s has running threads %v after SIGSTOP", p.spec.Name, freezeTimeout)
+		}
+		time.Sleep(freezePoll)
+	}
+	return nil
+}
+
+// stopped tells whether all threads of a process are stopped or gone.
+func stopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return false
+	}
+	for _, path := range stats {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		// The state follows the name, which stands in parentheses and may contain some itself.
+		_, state, found := strings.Cut(string(raw[bytes.LastIndexByte(raw, ')')+1:]), " ")
+		if found && !strings.HasPrefix(state, "T") && !strings.HasPrefix(state, "Z") {
+			return false
+		}
+	}
+	return true
 }
 
 // Thaw lets a frozen process continue.
--- /dev/null
+++ b/internal/request/admitter/admitter_test.go
@@ -0,0 +1,244 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/version/cataloguer"
+)
+
+const (
+	model = identifier.Service("model")
+	shop  = identifier.Service("shop")
+)
+
+var start = time.Unix(1000, 0)
+
+// world is an admitter with its upstreams.
+type world struct {
+	*admitter.Admitter
+	fleet cataloguer.Fleet
+}
+
+func newWorld(upstreams ...cataloguer.Upstream) *world {
+	w := &world{
+		Admitter: admitter.New(admitter.Config{
+			FailureDomain: "a", ColdFactor: 1.5, ColdSlack: 5, Draw: func() float64 { return 0 },
+		}),
+		fleet: cataloguer.Fleet{
+			Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{
+				{Name: model, ColdPerSecond: 10, Engine: &cataloguer.Engine{Sets: 1}}, {Name: shop},
+			}}),
+			Upstreams: upstreams,
+			Evacuated: map[identifier.FailureDomain]bool{},
+		},
+	}
+	w.SetFleet(start, w.fleet)
+	return w
+}
+
+func upstream(id identifier.Upstream, s identifier.Service, slots int) cataloguer.Upstream {
+	return cataloguer.Upstream{ID: id, Service: s, Address: string(id), FailureDomain: "a", Slots: slots, Version: 1}
+}
+
+func need(s identifier.Service, now time.Time) admitter.Need {
+	return admitter.Need{
+		Service: s, OnTime: now.Add(200 * time.Millisecond), Until: now.Add(1700 * time.Millisecond), Deadline: now.Add(8 * time.Second),
+	}
+}
+
+// decided returns the decision of a ticket, or nil if it waits.
+func decided(t *admitter.Ticket) admitter.Decision {
+	select {
+	case d := <-t.Result():
+		return d
+	default:
+		return nil
+	}
+}
+
+func granted(t *testing.T, ticket *admitter.Ticket) identifier.Upstream {
+	t.Helper()
+	g, ok := decided(ticket).(admitter.Granted)
+	require.True(t, ok)
+	return g.Upstream.ID
+}
+
+func refused(t *testing.T, ticket *admitter.Ticket) admitter.Refused {
+	t.Helper()
+	r, ok := decided(ticket).(admitter.Refused)
+	require.True(t, ok)
+	return r
+}
+
+// Guards against upstreams that get more than their slots, counting what other gateways run there.
+func TestSlotsAreSharedWithPeers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 3))
+	w.SetPeers(start, map[identifier.Upstream]int{"x": 2})
+	granted(t, w.Request(start, need(shop, start)))
+	second := w.Request(start, need(shop, start))
+	require.Nil(t, decided(second))
+	w.SetPeers(start, map[identifier.Upstream]int{"x": 1})
+	granted(t, second)
+}
+
+// Guards against requests to upstreams that leave or whose failure domain is out.
+func TestLeavingAndEvacuatedUpstreamsGetNothing(t *testing.T) {
+	t.Parallel()
+	leaving := upstream("x", shop, 3)
+	leaving.Draining = true
+	other := upstream("y", shop, 3)
+	other.FailureDomain = "b"
+	w := newWorld(leaving, other)
+	require.Equal(t, identifier.Upstream("y"), granted(t, w.Request(start, need(shop, start))))
+	w.fleet.Evacuated["b"] = true
+	w.SetFleet(start, w.fleet)
+	require.Equal(t, admitter.ReasonNoUpstream, refused(t, w.Request(start, need(shop, start))).Reason)
+}
+
+// Guards against a cold upstream that falls over: all gateways together stay below factor × rate + slack.
+func TestColdUpstreamIsSpared(t *testing.T) {
+	t.Parallel()
+	cold := upstream("x", model, 1000)
+	cold.ColdLeft = time.Minute
+	w := newWorld(cold)
+	w.SetGateways(4)
+	count := 0
+	for ms := range 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		n := need(model, now)
+		n.Until = now.Add(time.Microsecond)
+		ticket := w.Request(now, n)
+		if _, ok := decided(ticket).(admitter.Granted); ok {
+			count++
+		} else {
+			w.Withdraw(now, ticket)
+		}
+		w.Progressed(now, model)
+	}
+	require.LessOrEqual(t, 4*count, 24)
+	require.Positive(t, count)
+}
+
+// Load: all slots are taken and more requests come than can be on time. Guards against an order in which requests that
+// are late already make every new one late as well.
+func TestRequestsThatCanBeOnTimeGoFirst(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", model, 1))
+	w.Progressed(start, model)
+	granted(t, w.Request(start, need(model, start)))
+	late := w.Request(start, need(model, start))
+	now := start.Add(300 * time.Millisecond)
+	w.Progressed(now, model)
+	fresh := w.Request(now, need(model, now))
+	w.Done(now, "x", admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	granted(t, fresh)
+	require.Nil(t, decided(late))
+	w.Done(now, "x", admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	granted(t, late)
+}
+
+// Load: a queue that takes longer than the client waits. Guards against requests that wait although they cannot be
+// served any more.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 1))
+	granted(t, w.Request(start, need(shop, start)))
+	w.Done(start, "x", admitter.Served{First: time.Second, Whole: 4 * time.Second})
+	granted(t, w.Request(start, need(shop, start)))
+	waiting := 0
+	for range 10 {
+		if decided(w.Request(start, need(shop, start))) == nil {
+			waiting++
+		}
+	}
+	require.Less(t, waiting, 4)
+	r := refused(t, w.Request(start, need(shop, start)))
+	require.Equal(t, admitter.ReasonOverload, r.Reason)
+	require.Positive(t, r.RetryAfter)
+}
+
+// Load: a group of ranks is closed for some seconds. Guards against clients that are kept waiting for an outage longer
+// than their patience, or sent back before it ends, and against those that came back being refused again at once.
+func TestClosedGroup(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
+	granted(t, w.Request(start, need(model, start)))
+	w.Done(start, "x", admitter.Rejected{Load: admitter.Load{Slots: 4}, LoadKnown: true})
+	r := refused(t, w.Request(start, need(model, start)))
+	require.Equal(t, admitter.ReasonGroupClosed, r.Reason)
+	require.Equal(t, 8*time.Second/3, r.RetryAfter)
+
+	back := need(model, start)
+	back.Returned = true
+	waiting := w.Request(start, back)
+	require.Nil(t, decided(waiting))
+	w.GroupOpened(start.Add(time.Second), model)
+	granted(t, waiting)
+}
+
+// Guards against a full upstream that is taken for a closed group, which would keep all others idle.
+func TestFullUpstreamDoesNotCloseTheGroup(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
+	first := granted(t, w.Request(start, need(model, start)))
+	w.Done(start, first, admitter.Rejected{Load: admitter.Load{Running: 4, Waiting: 2, Slots: 4}, LoadKnown: true})
+	require.NotEqual(t, first, granted(t, w.Request(start, need(model, start))))
+}
+
+// Guards against new requests that are sent into a group whose ranks wait for one that is gone.
+func TestStalledGroupGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", model, 8))
+	for range 3 {
+		granted(t, w.Request(start, need(model, start)))
+	}
+	w.Progressed(start, model)
+	now := start.Add(700 * time.Millisecond)
+	returned := need(model, now)
+	returned.Returned = true
+	ticket := w.Request(now, returned)
+	require.Nil(t, decided(ticket))
+	w.Progressed(now, model)
+	w.Tick(now)
+	granted(t, ticket)
+}
+
+// Guards against an upstream that is tried again at once after no connection could be made.
+func TestUnreachableUpstreamIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 4), upstream("y", shop, 4))
+	first := granted(t, w.Request(start, need(shop, start)))
+	w.Done(start, first, admitter.Unreachable{})
+	for range 4 {
+		require.NotEqual(t, first, granted(t, w.Request(start, need(shop, start))))
+	}
+}
+
+// Guards against a grant that is lost because its client left at the same moment.
+func TestWithdrawnGrantIsGivenBack(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 1))
+	ticket := w.Request(start, need(shop, start))
+	w.Withdraw(start, ticket)
+	granted(t, w.Request(start, need(shop, start)))
+}
+
+// Guards against urgent requests that wait behind others.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 1))
+	granted(t, w.Request(start, need(shop, start)))
+	usual := need(shop, start)
+	usual.Priority = 2
+	first := w.Request(start, usual)
+	urgent := w.Request(start, need(shop, start))
+	w.Done(start, "x", admitter.Cancelled{})
+	granted(t, urgent)
+	require.Nil(t, decided(first))
+}
