--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -71,6 +71,7 @@
 	relayer    *relayer.Relayer
 	fleet      atomic.Pointer[cataloguer.Fleet]
 	stopping   chan struct{}
+	ready      atomic.Bool
 	// rebuild wakes the actor that takes over changed tables.
 	rebuild chan struct{}
 	lease   *mapleader.Lease
@@ -197,11 +198,7 @@
 	if s.Leading = g.leader.Leading(); s.Leading {
 		s.Groups = g.groups.all()
 	}
-	select {
-	case <-g.stopping:
-		s.Stopping = true
-	default:
-	}
+	s.Stopping = g.isStopping()
 }
 
 // peersChanged takes over what the peers run and how many share the bounds.
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -61,20 +61,28 @@
 	return err
 }
 
+// answerReady tells the platform whether this gateway can serve new clients.
 func (g *gateway) answerReady(w http.ResponseWriter, r *http.Request) {
-	select {
-	case <-g.stopping:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	default:
+	ready := r.URL.Path == platform.ReadyPath && g.replicated() && !g.isStopping()
+	if g.ready.Swap(ready) != ready {
+		g.log.Event(logger.EventReadyChanged).Bool("ready", ready).Send()
 	}
-	if r.URL.Path != platform.ReadyPath || !g.replicated() {
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (g *gateway) isStopping() bool {
+	select {
+	case <-g.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *gateway) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(relayer.Path, relayer.Handler(g.replicator))
--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -15,7 +15,7 @@
 
 const (
 	leaseTable replicator.Table = "leases"
-	leaseKey                    = "maps"
+	leaseKey   string           = "maps"
 	// term is how long a leader may give orders after it began its last successful renewal.
 	term = 4 * time.Second
 	// takeoverMargin is kept beyond the term before another process takes the lease, for the difference between clocks
--- a/internal/version/rebalancer/rebalancer.go
+++ b/internal/version/rebalancer/rebalancer.go
@@ -40,8 +40,6 @@
 const (
 	// maxMoves bounds the moves in one set and change.
 	maxMoves = 64
-	// loadPower makes the cost of a set follow its most loaded ranks and still reward the relief of one of several.
-	loadPower = 8
 	// minGain is the relative gain below which a move is not worth an order.
 	minGain = 1e-3
 	// candidateRanks bounds the ranks that are tried as new holders, the least loaded first.
@@ -170,7 +168,8 @@
 	return sum
 }
 
-// power raises to loadPower.
+// power raises to the eighth power, so that the cost of a set follows its most loaded ranks and still rewards the relief
+// of one of several.
 func power(x float64) float64 {
 	x *= x
 	x *= x
