Let two gateways of a failure domain follow the store, the others pull from peers

Change: the first two gateways of a failure domain that the store answers follow it and tell their peers at once; the others pull the rows. A gateway that knows of no served peer follows by itself. Found by the new test: after a lost history the follower read the table again without a pause, a busy loop while the store keeps answering 410 (the test hung for 10 min in virtual time). It now pauses 100 ms.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,12 +36,14 @@
 	tickInterval = 50 * time.Millisecond
 	// sweepInterval is how often idle connections and the settings file are looked at.
 	sweepInterval = 2 * time.Second
-	// pullAfter leaves the platform's own answer the first chance before rows are pulled from a peer.
+	// pullAfter leaves the platform's own answer the first chance before a gateway that follows it pulls from a peer.
 	pullAfter = 150 * time.Millisecond
+	// pullTimeout is when a pull counts as lost.
+	pullTimeout = 800 * time.Millisecond
 	// nodeTable holds a row for each gateway, so that gateways find each other without seeds.
 	nodeTable replicator.Table = "nodes"
 	// nodeInterval is how often a gateway renews its row and reads the others.
-	nodeInterval = 10 * time.Second
+	nodeInterval = 60 * time.Second
 	// decisionsKept is small because a gateway explains itself by its log lines.
 	decisionsKept = 16
 	// idleTimeout is above that of any configuration, so that the gateway never closes a connection a client reuses.
@@ -268,6 +271,8 @@
 		if fleet.Catalogue != nil {
 			version = uint64(fleet.Catalogue.Version())
 		}
+		// Peers that do not follow the platform learn of the new versions by this.
+		g.gossiper.Tell()
 		g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
 			Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
 			Uint64("operatorRows", g.replicator.Version(platform.OperatorTable)).
@@ -295,26 +300,35 @@
 func (g *gateway) pull(ctx context.Context, now time.Time) {
 	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable} {
 		own := g.replicator.Version(t)
-		source := ""
-		highest := own
-		for _, p := range g.gossiper.Peers() {
-			if !p.Silent && p.Versions[t] > highest {
-				source, highest = p.Control, p.Versions[t]
-			}
-		}
+		source := g.ahead(t, own)
 		since, waiting := g.behind[t]
 		switch {
 		case source == "":
 			delete(g.behind, t)
-		case !waiting:
-			g.behind[t] = now
-		case now.Sub(since) >= pullAfter:
+		case !waiting && g.reads():
+			// The platform's own answer is probably on its way.
+			g.behind[t] = now.Add(pullAfter - pullTimeout)
+		case !waiting || now.Sub(since) >= pullTimeout:
 			g.behind[t] = now
 			go g.pullFrom(ctx, source, t, own)
 		}
 	}
 }
 
+// ahead returns where to pull from: one of the peers that have a higher version of a table.
+func (g *gateway) ahead(t replicator.Table, own uint64) string {
+	var sources []string
+	for _, p := range g.gossiper.Peers() {
+		if !p.Silent && p.Versions[t] > own {
+			sources = append(sources, p.Control)
+		}
+	}
+	if len(sources) == 0 {
+		return ""
+	}
+	return sources[rand.IntN(len(sources))]
+}
+
 func (g *gateway) pullFrom(ctx context.Context, source string, t replicator.Table, after uint64) {
 	rows, err := g.relayer.Pull(ctx, source, t, after)
 	if err != nil {
@@ -358,6 +372,7 @@
 		Replicator:   g.replicator,
 		Table:        t,
 		HoldRemovals: holdRemovals,
+		Reads:        g.reads,
 		Log:          g.log,
 		Meter:        g.meter,
 	})
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -57,6 +57,27 @@
 	return false
 }
 
+// readersPerDomain is the number of gateways of a failure domain that follow the platform: two, so that the death of one
+// delays no change. The others get the rows from them, which keeps the calls of the store independent of the size of the
+// fleet.
+const readersPerDomain = 2
+
+// reads tells whether this gateway follows the platform: it is one of the first of its failure domain that the platform
+// answers, or knows of no gateway that it answers.
+func (g *gateway) reads() bool {
+	before, readers := 0, 0
+	for _, p := range g.gossiper.Peers() {
+		if p.Silent || p.StoreLost || p.Stopping {
+			continue
+		}
+		readers++
+		if p.FailureDomain == g.settings.FailureDomain && p.Node < g.settings.Node {
+			before++
+		}
+	}
+	return before < readersPerDomain || readers == 0
+}
+
 // leaderHeard tells whether another gateway leads and was heard lately.
 func (g *gateway) leaderHeard() bool {
 	for _, p := range g.gossiper.Peers() {
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -22,6 +22,11 @@
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
+	// idlePoll is how often a process that does not follow looks whether it has to.
+	idlePoll = 100 * time.Millisecond
+	// forgiveAfter is when a process that the platform turned away, and that does not follow since, may be asked to follow
+	// again.
+	forgiveAfter = 5 * time.Second
 	// outageAfter is how long calls fail before the end of the failure counts as the return of the platform.
 	outageAfter = time.Second
 )
@@ -37,6 +42,8 @@
 	Store      Store
 	Replicator *replicator.Replicator
 	Table      replicator.Table
+	// Reads tells whether this process follows the platform at the moment; the others get the rows from their peers.
+	Reads func() bool
 	// HoldRemovals is set for tables whose entries lapse while the platform is away.
 	HoldRemovals bool
 	Log          *logger.Logger
@@ -51,6 +58,7 @@
 	full       bool
 	failing    atomic.Bool
 	lastGood   time.Time
+	failedAt   time.Time
 	failedCall int
 }
 
@@ -62,6 +70,10 @@
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !f.full && !f.cfg.Reads() {
+			f.idle(ctx)
+			continue
+		}
 		err := f.step(ctx)
 		pause := callPause
 		if err != nil && ctx.Err() == nil {
@@ -75,6 +87,19 @@
 	return nil
 }
 
+// idle waits a little. What peers pass on counts as read.
+func (f *Follower) idle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(idlePoll):
+	}
+	f.after = max(f.after, f.cfg.Replicator.Version(f.cfg.Table))
+	f.lastGood = time.Now()
+	if f.lastGood.Sub(f.failedAt) > forgiveAfter {
+		f.failing.Store(false)
+	}
+}
+
 // Lost tells whether the last call of the platform failed.
 func (f *Follower) Lost() bool {
 	return f.failing.Load()
@@ -120,10 +145,11 @@
 func (f *Follower) failed(err error) time.Duration {
 	if errors.Is(err, replicator.ErrHistoryLost) {
 		f.full = true
-		return 0
+		return minPause
 	}
 	f.cfg.Meter.Add(meter.StoreFailures)
 	f.failedCall++
+	f.failedAt = time.Now()
 	if f.failing.CompareAndSwap(false, true) {
 		f.cfg.Log.Event(logger.EventStoreLost).Str("table", string(f.cfg.Table)).AnErr("error", err).
 			Uint64("version", f.after).Send()
--- /dev/null
+++ b/internal/version/follower/follower_test.go
@@ -0,0 +1,168 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/version/follower"
+	"currantledge.example/currantledge/internal/version/replicator"
+)
+
+const table = replicator.Table("t")
+
+// store is a stand-in of the platform with one table.
+type store struct {
+	mu      sync.Mutex
+	rows    []replicator.Row
+	version uint64
+	err     error
+	reads   int
+	follows int
+}
+
+func (s *store) put(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows = append(s.rows, replicator.Row{Key: key, Version: s.version})
+}
+
+func (s *store) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *store) Read(context.Context, replicator.Table) ([]replicator.Row, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.rows, s.version, s.err
+}
+
+func (s *store) Follow(ctx context.Context, _ replicator.Table, after uint64, wait time.Duration) ([]replicator.Row, uint64, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		s.follows++
+		rows, version, err := s.rows, s.version, s.err
+		s.mu.Unlock()
+		if err != nil || version > after || time.Now().After(deadline) {
+			return rows, version, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *store) calls() (int, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.follows
+}
+
+// follow runs a follower until the test ends.
+func follow(t *testing.T, s *store, reads func() bool) (*follower.Follower, *replicator.Replicator) {
+	t.Helper()
+	r := replicator.New(replicator.Config{})
+	f := follower.New(follower.Config{
+		Store: s, Replicator: r, Table: table, Reads: reads, Log: logger.Discard(), Meter: meter.New(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f, r
+}
+
+func always() bool { return true }
+
+// Guards against changes that come late, and against a table that stays as it was after the platform lost its history.
+func TestChangesArrive(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		s.put("a")
+		_, r := follow(t, s, always)
+		time.Sleep(time.Second)
+		s.put("b")
+		time.Sleep(300 * time.Millisecond)
+		require.Len(t, r.Rows(table), 2)
+		s.fail(replicator.ErrHistoryLost)
+		time.Sleep(time.Second)
+		s.put("c")
+		s.fail(nil)
+		time.Sleep(2 * time.Second)
+		require.Len(t, r.Rows(table), 3)
+		reads, _ := s.calls()
+		require.Greater(t, reads, 1)
+	})
+}
+
+// Guards against gateways that hammer a store that is down, and that never notice its return.
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		s.put("a")
+		f, r := follow(t, s, always)
+		time.Sleep(time.Second)
+		s.fail(replicator.ErrTurnedAway)
+		time.Sleep(2 * time.Second)
+		require.True(t, f.Lost())
+		_, before := s.calls()
+		time.Sleep(10 * time.Second)
+		_, after := s.calls()
+		require.LessOrEqual(t, after-before, 15)
+		s.fail(nil)
+		s.put("b")
+		time.Sleep(time.Second)
+		require.False(t, f.Lost())
+		require.Len(t, r.Rows(table), 2)
+	})
+}
+
+// Guards against calls of the store that grow with the fleet, and against a gap when a gateway has to follow again after
+// its peers passed rows on.
+func TestOnlyReadersFollow(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		s.put("a")
+		var mu sync.Mutex
+		reads := false
+		_, r := follow(t, s, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return reads
+		})
+		time.Sleep(time.Second)
+		_, before := s.calls()
+		time.Sleep(5 * time.Second)
+		_, after := s.calls()
+		require.Equal(t, before, after)
+		require.Len(t, r.Rows(table), 1)
+		s.put("b")
+		r.Merge(time.Now(), table, []replicator.Row{{Key: "b", Version: 2}}, false)
+		mu.Lock()
+		reads = true
+		mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		s.put("c")
+		time.Sleep(500 * time.Millisecond)
+		require.Len(t, r.Rows(table), 3)
+	})
+}
