Test the life of a gateway against a stand-in store and upstream

Guards: ready only once it can serve, 503 before a configuration is known, a new version in force, open answers kept whole over a stop, and changes that reach a gateway through its peers while the store turns it away.

--- /dev/null
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -0,0 +1,329 @@
+package gatewayrunner_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/gatewayrunner"
+)
+
+const wait = 10 * time.Second
+
+// row is a row of the stand-in store.
+type row struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	Ver   uint64 `json:"ver"`
+}
+
+// store is a stand-in of the platform's store.
+type store struct {
+	mu   sync.Mutex
+	rows map[string]row
+	ver  uint64
+}
+
+// door leads to the store until it is shut.
+type door struct {
+	store *store
+	shut  atomic.Bool
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.shut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.store.ServeHTTP(w, r)
+}
+
+func (s *store) put(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.rows[table+"/"+key] = row{table, key, base64.StdEncoding.EncodeToString([]byte(value)), s.ver}
+}
+
+// after returns the rows of a table beyond a version, and the newest version.
+func (s *store) after(table string, version uint64) ([]row, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []row{}
+	for _, r := range s.rows {
+		if r.Table == table && r.Ver > version {
+			out = append(out, r)
+		}
+	}
+	return out, s.ver
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch r.URL.Path {
+	case "/currantledge/rows-get":
+		s.answer(w, query.Get("table"), 0)
+	case "/currantledge/rows-feed":
+		after, _ := strconv.ParseUint(query.Get("afterRev"), 10, 64)
+		ms, _ := strconv.Atoi(query.Get("waitMs"))
+		for end := time.Now().Add(time.Duration(ms) * time.Millisecond); time.Now().Before(end) && r.Context().Err() == nil; {
+			if rows, _ := s.after(query.Get("table"), after); len(rows) > 0 {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		s.answer(w, query.Get("table"), after)
+	case "/currantledge/rows-tx":
+		var body struct {
+			Writes []row `json:"writes"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		for _, one := range body.Writes {
+			value, _ := base64.StdEncoding.DecodeString(one.Value)
+			s.put(one.Table, one.Key, string(value))
+		}
+		s.answer(w, "", 0)
+	}
+}
+
+func (s *store) answer(w http.ResponseWriter, table string, after uint64) {
+	rows, version := s.after(table, after)
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version})
+}
+
+// deployment is a store, an upstream and the gateways under test.
+type deployment struct {
+	store    *store
+	address  string
+	upstream string
+	mu       sync.Mutex
+	runs     map[string]int
+	// slow delays the answers of the upstream.
+	slow time.Duration
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{store: &store{rows: map[string]row{}}, runs: map[string]int{}}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(server.Close)
+	d.address = strings.TrimPrefix(server.URL, "http://")
+	runner := httptest.NewServer(http.HandlerFunc(d.run))
+	t.Cleanup(runner.Close)
+	d.upstream = strings.TrimPrefix(runner.URL, "http://")
+	return d
+}
+
+// run answers as an upstream of the platform does.
+func (d *deployment) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	d.mu.Lock()
+	d.runs[id]++
+	slow := d.slow
+	d.mu.Unlock()
+	time.Sleep(slow)
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Runner-Stamp", "stamp")
+	_, _ = io.WriteString(w, "for "+id)
+}
+
+// configure writes a configuration with one route under each prefix.
+func (d *deployment) configure(version int, prefixes ...string) {
+	var routes []string
+	for _, p := range prefixes {
+		routes = append(routes, fmt.Sprintf(`{"name":"r","host":"h.example","prefix":"%s","kind":"non_idempotent","timeoutMs":4000,"sloMs":200,"service":"s","attempts":1}`, p))
+	}
+	d.store.put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
+}
+
+// gateway is one running gateway.
+type gateway struct {
+	callers string
+	ready   string
+	control string
+	stop    context.CancelFunc
+	done    chan error
+	log     *logBuffer
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+func freePort(t *testing.T, host string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", host+":0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+// start runs a gateway on a loopback address.
+func (d *deployment) start(t *testing.T, host string, port int, seeds, storeAddress string) *gateway {
+	t.Helper()
+	g := &gateway{
+		callers: freePort(t, host), ready: freePort(t, host), control: freePort(t, host),
+		done: make(chan error, 1), log: &logBuffer{},
+	}
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	text := fmt.Sprintf(`nodeName=node-%s
+zone=a
+ip=%s
+listen.front=%s
+listen.ready=%s
+listen.control=%s
+internalPorts=%d,%d
+seeds=%s
+heartbeatMs=1200
+provider.address=%s
+bounds.budgetRatio=0.2
+bounds.extraRetries=92
+bounds.budgetWindowS=10
+bounds.coldOver=1.5
+bounds.coldSlack=5
+bounds.graceS=5
+bounds.stall_ms=1500
+`, host, host, g.callers, g.ready, g.control, port, port, seeds, storeAddress)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	ctx, cancel := context.WithCancel(t.Context())
+	g.stop = cancel
+	go func() {
+		g.done <- gatewayrunner.Run(ctx, gatewayrunner.Config{SettingsPath: path, Output: g.log, LogLevel: zerolog.InfoLevel})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-g.done:
+			require.NoError(t, err)
+		case <-time.After(wait):
+			require.Fail(t, "the gateway does not stop")
+		}
+	})
+	return g
+}
+
+func status(t *testing.T, url string) int {
+	t.Helper()
+	r, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	return r.StatusCode
+}
+
+func (g *gateway) isReady(t *testing.T) bool {
+	return status(t, "http://"+g.ready+"/currantledge/ready") == http.StatusOK
+}
+
+func (g *gateway) send(t *testing.T, path, id string) (int, string) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+g.callers+path, strings.NewReader("x"))
+	require.NoError(t, err)
+	q.Host = "h.example"
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Credential", "k")
+	q.Header.Set("Deadline-Ms", "4000")
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return r.StatusCode, string(body)
+}
+
+func (d *deployment) register() {
+	d.store.put("servers", "i-1", fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready"}`, d.upstream))
+}
+
+// Guards against a gateway that is ready before it can serve, refuses what it does not know yet, misses a new
+// configuration, or loses the answer of an open request when it is stopped.
+func TestLifeOfAGateway(t *testing.T) {
+	d := newDeployment(t)
+	g := d.start(t, "127.0.0.1", 17340, "", d.address)
+	require.Eventually(t, func() bool { code, _ := g.send(t, "/a/", "0"); return code == http.StatusServiceUnavailable }, wait, 10*time.Millisecond)
+	require.False(t, g.isReady(t))
+	d.register()
+	d.configure(1, "/a/")
+	require.Eventually(t, func() bool { return g.isReady(t) }, wait, 10*time.Millisecond)
+	require.Eventually(t, func() bool { code, _ := g.send(t, "/a/", "1"); return code == http.StatusOK }, wait, 10*time.Millisecond)
+	d.configure(2, "/b/")
+	require.Eventually(t, func() bool { code, _ := g.send(t, "/a/", "2"); return code == http.StatusNotFound }, 2*time.Second, 10*time.Millisecond)
+	code, body := g.send(t, "/b/", "3")
+	require.Equal(t, http.StatusOK, code)
+	require.Equal(t, "for 3", body)
+	require.Equal(t, http.StatusOK, status(t, "http://"+g.control+"/metrics"))
+
+	d.mu.Lock()
+	d.slow = time.Second
+	d.mu.Unlock()
+	type reply struct {
+		code int
+		body string
+	}
+	answered := make(chan reply, 1)
+	go func() {
+		code, body := g.send(t, "/b/", "4")
+		answered <- reply{code, body}
+	}()
+	require.Eventually(t, func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.runs["4"] == 1 }, wait, 5*time.Millisecond)
+	g.stop()
+	require.Eventually(t, func() bool { return !g.isReady(t) }, time.Second, 5*time.Millisecond)
+	require.Equal(t, reply{http.StatusOK, "for 4"}, <-answered)
+	require.Contains(t, g.log.String(), `"request":"4"`)
+	require.NotContains(t, g.log.String(), `"k"`)
+}
+
+// Guards against a gateway that the store turns away and that goes on with an old configuration although its peers know
+// the new one.
+func TestPeersPassOnWhatTheStoreRefuses(t *testing.T) {
+	d := newDeployment(t)
+	d.register()
+	d.configure(1, "/a/")
+	door := &door{store: d.store}
+	server := httptest.NewServer(door)
+	t.Cleanup(server.Close)
+	first := d.start(t, "127.0.0.1", 17341, "", d.address)
+	second := d.start(t, "127.0.0.2", 17341, "127.0.0.1:1", strings.TrimPrefix(server.URL, "http://"))
+	require.Eventually(t, func() bool { return first.isReady(t) && second.isReady(t) }, wait, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(second.log.String(), "peer gateway heard") }, wait, 10*time.Millisecond)
+	door.shut.Store(true)
+	d.configure(2, "/b/")
+	require.Eventually(t, func() bool { code, _ := second.send(t, "/b/", "1"); return code == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
+	code, _ := second.send(t, "/a/", "2")
+	require.Equal(t, http.StatusNotFound, code)
+}
