Add a soak of real gateways under overlapping random faults

Real gateways run as separate processes; a loopback proxy in front of the store and of each upstream cuts, delays, resets and silences connections; gateways are killed, stopped, frozen and restarted; the store is down, loses answers and its history; upstreams leave. Checked from outside: whole and own answers, one run, true refusals, streams without gaps, and the newest configuration at every gateway after the faults. Fault draws are made from the seed alone, their timing is not repeatable.

Engines with groups are not part of it yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 TOOLS := $(CURDIR)/.tools/bin
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build tools format lint test check faults bench demo
+.PHONY: build tools format lint test check faults bench demo soak
+
+SEEDS ?= 50
+SEED ?= 1
 
 build:
 	go build -o bin/ . ./cmd/...
@@ -24,6 +27,7 @@
 
 check: lint build test
 	bin/prover faults --part check
+	bin/prover soak --seeds 3 --seed 1 --parallel 3
 
 faults: build
 	bin/prover faults
@@ -33,3 +37,6 @@
 
 bench: build
 	bin/prover bench
+
+soak: build
+	bin/prover soak --seeds $(SEEDS) --seed $(SEED)
--- a/cmd/prover/commands.go
+++ b/cmd/prover/commands.go
@@ -12,6 +12,7 @@
 	"currantledge.example/currantledge/internal/prover/demonstrator"
 	"currantledge.example/currantledge/internal/prover/launcher"
 	"currantledge.example/currantledge/internal/prover/matrixrunner"
+	"currantledge.example/currantledge/internal/prover/soaker"
 	"currantledge.example/currantledge/internal/prover/testrunner"
 )
 
@@ -27,6 +28,7 @@
 		{"demo", "run the demo", &demoCommand{ctx: ctx}},
 		{"faults", "run the fault matrix", &faultsCommand{ctx: ctx}},
 		{"bench", "run the bench", &benchCommand{ctx: ctx}},
+		{"soak", "run gateways under random faults", &soakCommand{ctx: ctx}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
@@ -57,6 +59,31 @@
 	return launcher.FindBinaries(folder)
 }
 
+type soakCommand struct {
+	ctx      context.Context
+	Binaries string   `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
+	Seeds    int      `long:"seeds" default:"5" description:"number of seeds"`
+	Seed     uint64   `long:"seed" default:"1" description:"the first seed"`
+	Also     []uint64 `long:"also" description:"a further seed, repeatable"`
+	Parallel int      `long:"parallel" default:"4" description:"number of seeds side by side"`
+	Keep     bool     `long:"keep" description:"keep the folders with settings and logs"`
+}
+
+// Execute runs the command.
+func (c *soakCommand) Execute([]string) error {
+	binaries, err := findBinaries(c.Binaries)
+	if err != nil {
+		return err
+	}
+	seeds := c.Also
+	for i := range uint64(c.Seeds) {
+		seeds = append(seeds, c.Seed+i)
+	}
+	return soaker.Run(c.ctx, soaker.Config{
+		Binaries: binaries, Seeds: seeds, Parallel: c.Parallel, Keep: c.Keep, Output: os.Stdout,
+	})
+}
+
 type demoCommand struct {
 	ctx      context.Context
 	Binaries string `long:"binaries" description:"folder of the binaries; the default is the folder of this one"`
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +10,6 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,28 +20,14 @@
 	"github.com/stretchr/testify/require"
 
 	"currantledge.example/currantledge/internal/process/gatewayrunner"
+	"currantledge.example/currantledge/internal/standin/storeserver"
 )
 
 const wait = 10 * time.Second
 
-// row is a row of the stand-in store.
-type row struct {
-	Table string `json:"table"`
-	Key   string `json:"key"`
-	Value string `json:"value"`
-	Ver   uint64 `json:"ver"`
-}
-
-// store is a stand-in of the platform's store.
-type store struct {
-	mu   sync.Mutex
-	rows map[string]row
-	ver  uint64
-}
-
 // door leads to the store until it is shut.
 type door struct {
-	store *store
+	store *storeserver.Server
 	shut  atomic.Bool
 }
 
@@ -56,62 +39,9 @@
 	d.store.ServeHTTP(w, r)
 }
 
-func (s *store) put(table, key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ver++
-	s.rows[table+"/"+key] = row{table, key, base64.StdEncoding.EncodeToString([]byte(value)), s.ver}
-}
-
-// after returns the rows of a table beyond a version, and the newest version.
-func (s *store) after(table string, version uint64) ([]row, uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := []row{}
-	for _, r := range s.rows {
-		if r.Table == table && r.Ver > version {
-			out = append(out, r)
-		}
-	}
-	return out, s.ver
-}
-
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	switch r.URL.Path {
-	case "/currantledge/rows-get":
-		s.answer(w, query.Get("table"), 0)
-	case "/currantledge/rows-feed":
-		after, _ := strconv.ParseUint(query.Get("afterRev"), 10, 64)
-		ms, _ := strconv.Atoi(query.Get("waitMs"))
-		for end := time.Now().Add(time.Duration(ms) * time.Millisecond); time.Now().Before(end) && r.Context().Err() == nil; {
-			if rows, _ := s.after(query.Get("table"), after); len(rows) > 0 {
-				break
-			}
-			time.Sleep(5 * time.Millisecond)
-		}
-		s.answer(w, query.Get("table"), after)
-	case "/currantledge/rows-tx":
-		var body struct {
-			Writes []row `json:"writes"`
-		}
-		_ = json.NewDecoder(r.Body).Decode(&body)
-		for _, one := range body.Writes {
-			value, _ := base64.StdEncoding.DecodeString(one.Value)
-			s.put(one.Table, one.Key, string(value))
-		}
-		s.answer(w, "", 0)
-	}
-}
-
-func (s *store) answer(w http.ResponseWriter, table string, after uint64) {
-	rows, version := s.after(table, after)
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version})
-}
-
 // deployment is a store, an upstream and the gateways under test.
 type deployment struct {
-	store    *store
+	store    *storeserver.Server
 	address  string
 	upstream string
 	mu       sync.Mutex
@@ -122,7 +52,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{store: &store{rows: map[string]row{}}, runs: map[string]int{}}
+	d := &deployment{store: storeserver.New(), runs: map[string]int{}}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.address = strings.TrimPrefix(server.URL, "http://")
@@ -151,7 +81,7 @@
 	for _, p := range prefixes {
 		routes = append(routes, fmt.Sprintf(`{"name":"r","host":"h.example","prefix":"%s","kind":"non_idempotent","timeoutMs":4000,"sloMs":200,"service":"s","attempts":1}`, p))
 	}
-	d.store.put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
+	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
 }
 
 // gateway is one running gateway.
@@ -267,7 +197,7 @@
 }
 
 func (d *deployment) register() {
-	d.store.put("servers", "i-1", fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready"}`, d.upstream))
+	d.store.Put("servers", "i-1", fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready"}`, d.upstream))
 }
 
 // Guards against a gateway that is ready before it can serve, refuses what it does not know yet, misses a new
