Read the counts of 2 ranks every 0.5 s

Requests are spread evenly over the ranks, so two show what is in demand. Ruled out: 2 ranks every 0.4 s (no better served, dearer).

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -22,7 +22,7 @@
 
 const (
 	// countInterval is how often the counts are read; each read pauses a group for half a millisecond per 400 numbers.
-	countInterval = 400 * time.Millisecond
+	countInterval = 500 * time.Millisecond
 	// rosterPause is the pause before a group that is not complete is read again.
 	rosterPause = 150 * time.Millisecond
 	// callTimeout bounds one call of a rank.
@@ -33,7 +33,7 @@
 	minSkewGain = 0.05
 	// sampledRanks is the number of ranks whose counts are read. Requests are spread evenly over the ranks, so a part of
 	// them shows the popularity of all.
-	sampledRanks = 3
+	sampledRanks = 2
 	// tolerated is the skew at which a group is left alone; enough is the skew to which one that exceeds it is brought.
 	tolerated = 1.4
 	enough    = 1.1
