Serve latency histograms; read only the settings that are used

Cause: the users ask for latency histograms on the metrics address; the gateway had counters only. Settings held fields that nothing read.

--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -136,7 +136,6 @@
 listen.control=%s
 internalPorts=%d,%d
 seeds=%s
-heartbeatMs=1200
 provider.address=%s
 bounds.budgetRatio=0.2
 bounds.extraRetries=92
@@ -144,7 +143,6 @@
 bounds.coldOver=1.5
 bounds.coldSlack=5
 bounds.graceS=5
-bounds.stall_ms=1500
 `, host, host, g.callers, g.ready, g.control, port, port, seeds, storeAddress)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -7,6 +7,8 @@
 const (
 	TypeCounter Type = "counter"
 	TypeGauge   Type = "gauge"
+	// TypeHistogram is an object with a count for each upper bound.
+	TypeHistogram Type = "histogram"
 )
 
 // Described is one row of the catalogue of metrics.
@@ -54,5 +56,8 @@
 		{MapSwitches, TypeCounter, "switches"},
 		{MapsAbandoned, TypeCounter, "switches"},
 		{LogLinesDropped, TypeCounter, "lines"},
+		{GatewayWaitMs, TypeHistogram, "requests"},
+		{GatewayFirstByteMs, TypeHistogram, "requests"},
+		{GatewayAnswerMs, TypeHistogram, "requests"},
 	}
 }
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"expvar"
 	"net/http"
+	"sync"
 )
 
 // Name names a metric. docs/metrics.md lists them all.
@@ -48,10 +49,16 @@
 	MapSwitches      Name = "mapSwitches"
 	MapsAbandoned    Name = "mapsAbandoned"
 	LogLinesDropped  Name = "logLinesDropped"
+
+	GatewayWaitMs      Name = "gatewayWaitMs"
+	GatewayFirstByteMs Name = "gatewayFirstByteMs"
+	GatewayAnswerMs    Name = "gatewayAnswerMs"
 )
 
 const published = "currantledge"
 
+var publish sync.Once
+
 // Meter holds the metrics of a process.
 type Meter struct {
 	vars *expvar.Map
@@ -60,9 +67,8 @@
 // New returns a meter. The first one of a process is published.
 func New() *Meter {
 	m := &Meter{vars: new(expvar.Map).Init()}
-	if expvar.Get(published) == nil {
-		expvar.Publish(published, m.vars)
-	}
+	// Two meters that are made at the same time must not both be published: expvar panics.
+	publish.Do(func() { expvar.Publish(published, m.vars) })
 	return m
 }
 
--- a/internal/prover/soaker/soaker.go
+++ b/internal/prover/soaker/soaker.go
@@ -246,8 +246,8 @@
 	}
 	path := filepath.Join(w.launcher.Folder(), fmt.Sprintf("gateway-%d.conf", i))
 	text := fmt.Sprintf("nodeName=gateway-%d\nzone=a\nip=%s\nlisten.front=%s\nlisten.ready=%s\nlisten.control=%s\ninternalPorts=%d,%d\n"+
-		"seeds=%s\nheartbeatMs=1200\nprovider.address=%s\nbounds.budgetRatio=0.2\nbounds.extraRetries=300\nbounds.budgetWindowS=10\n"+
-		"bounds.coldOver=1.5\nbounds.coldSlack=5\nbounds.graceS=8\nbounds.stall_ms=1500\n",
+		"seeds=%s\nprovider.address=%s\nbounds.budgetRatio=0.2\nbounds.extraRetries=300\nbounds.budgetWindowS=10\n"+
+		"bounds.coldOver=1.5\nbounds.coldSlack=5\nbounds.graceS=8\n",
 		i, host, addresses[0], addresses[1], addresses[2], *port, *port, seeds, store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -562,7 +562,7 @@
 func (a *Admitter) choose(now time.Time, s *service, need Need) *upstream {
 	var open []*upstream
 	for _, u := range a.upstreams {
-		if u.Service == need.Service && !need.Exclude[u.ID] && a.usable(now, u) && a.takes(now, s, u) {
+		if u.Service == need.Service && !need.Exclude[u.ID] && a.usable(u) && a.takes(now, s, u) {
 			open = append(open, u)
 		}
 	}
@@ -592,7 +592,7 @@
 }
 
 // usable tells whether an upstream may get requests at all.
-func (a *Admitter) usable(_ time.Time, u *upstream) bool {
+func (a *Admitter) usable(u *upstream) bool {
 	return !u.Draining && !a.evacuated[u.FailureDomain]
 }
 
@@ -635,7 +635,7 @@
 	}
 	slots, usable := 0, 0
 	for _, u := range a.upstreams {
-		if u.Service == s.Name && a.usable(now, u) && !t.need.Exclude[u.ID] {
+		if u.Service == s.Name && a.usable(u) && !t.need.Exclude[u.ID] {
 			usable++
 			slots += u.Slots
 		}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -186,6 +186,7 @@
 }
 
 func (f *Forwarder) served(got *requester.Answer, sent time.Time, first time.Duration) admitter.Outcome {
+	f.firsts.Observe(first)
 	if got.Header.Get("Connection") == "close" && got.Framed {
 		return admitter.Leaving{}
 	}
@@ -256,6 +257,7 @@
 }
 
 func (f *Forwarder) logEnd(c *call, status int, reason string) {
+	f.answers.Observe(time.Since(c.arrived))
 	f.cfg.Log.Event(logger.EventAnswered).Str("request", c.id).Str("route", c.route.Name).
 		Str("service", string(c.service)).Int("status", status).Str("reason", reason).
 		Dur("tookMs", time.Since(c.arrived)).Int("sends", c.sends).Int("runs", c.runs).
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -87,11 +87,20 @@
 type Forwarder struct {
 	cfg     Config
 	dropped map[string]bool
+	waits   *meter.Histogram
+	firsts  *meter.Histogram
+	answers *meter.Histogram
 }
 
 // New returns a Forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, dropped: map[string]bool{}}
+	f := &Forwarder{
+		cfg:     cfg,
+		dropped: map[string]bool{},
+		waits:   cfg.Meter.Histogram(meter.GatewayWaitMs),
+		firsts:  cfg.Meter.Histogram(meter.GatewayFirstByteMs),
+		answers: cfg.Meter.Histogram(meter.GatewayAnswerMs),
+	}
 	// Header fields that concern one connection, and those that the gateway sets itself.
 	for _, name := range []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -273,6 +282,7 @@
 // attempt sends the request once and tells whether that ended it.
 func (f *Forwarder) attempt(ctx context.Context, r *http.Request, c *call, s *stream, g admitter.Granted) bool {
 	sent := time.Now()
+	f.waits.Observe(g.Waited)
 	result := f.send(ctx, r, c, s, g.Upstream)
 	f.cfg.Admitter.Done(time.Now(), g.Upstream.ID, result.belief)
 	f.logAttempt(c, g, result, sent)
