--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -21,6 +21,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
@@ -358,10 +359,8 @@
 		if err != nil {
 			pause = sweepInterval
 		}
-		select {
-		case <-ctx.Done():
+		if !waiter.For(ctx, pause) {
 			return nil
-		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/prover/soaker/clients.go
+++ b/internal/prover/soaker/clients.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"currantledge.example/currantledge/internal/process/waiter"
 )
 
 // tally counts what clients saw and what was broken.
@@ -60,7 +62,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d", client, n)
 		note(w.send(c, w.nodes[(client+n)%len(w.nodes)], paths[n%len(paths)], id))
-		sleep(ctx, requestPause)
+		waiter.For(ctx, requestPause)
 	}
 }
 
@@ -156,7 +158,7 @@
 		for k := 0; !healed && time.Now().Before(end) && ctx.Err() == nil; k++ {
 			s := w.send(c, n, changedPrefix, fmt.Sprintf("healed-%d-%d", i, k))
 			healed = s.status == http.StatusOK
-			sleep(ctx, 50*time.Millisecond)
+			waiter.For(ctx, 50*time.Millisecond)
 		}
 		t.check(healed, "gateway %d does not serve the newest configuration %v after the faults", i, healTime)
 		s := w.send(c, n, oncePrefix, fmt.Sprintf("gone-%d", i))
--- a/internal/prover/soaker/faults.go
+++ b/internal/prover/soaker/faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/prover/interposer"
 )
 
@@ -20,13 +21,6 @@
 // faultPause is the mean time between two faults of a seed.
 const faultPause = 500 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // disturb injects faults until the time is over, then waits until all are taken back.
 func (w *world) disturb(ctx context.Context) {
 	var running sync.WaitGroup
@@ -36,7 +30,7 @@
 		chosen := faults[w.random.IntN(len(faults))]
 		target := w.random.IntN(1 << 16)
 		running.Go(func() { chosen(ctx, w, func(n int) int { return target % n }) })
-		sleep(ctx, time.Duration(w.random.Int64N(int64(2*faultPause))))
+		waiter.For(ctx, time.Duration(w.random.Int64N(int64(2*faultPause))))
 	}
 	running.Wait()
 }
@@ -44,7 +38,7 @@
 func killGateway(ctx context.Context, w *world, pick func(int) int) {
 	n := w.nodes[pick(len(w.nodes))]
 	n.running().Kill()
-	sleep(ctx, 400*time.Millisecond)
+	waiter.For(ctx, 400*time.Millisecond)
 	// A gateway that another fault has started meanwhile needs no second start.
 	if !n.running().Running() {
 		_ = w.start(ctx, n)
@@ -66,7 +60,7 @@
 	if p.Freeze() != nil {
 		return
 	}
-	sleep(ctx, 1500*time.Millisecond)
+	waiter.For(ctx, 1500*time.Millisecond)
 	_ = p.Thaw()
 }
 
@@ -80,7 +74,7 @@
 
 func withFaults(ctx context.Context, p *interposer.Proxy, f interposer.Faults, d time.Duration) {
 	p.Set(f)
-	sleep(ctx, d)
+	waiter.For(ctx, d)
 	p.Heal()
 }
 
@@ -102,13 +96,13 @@
 
 func storeDown(ctx context.Context, w *world, _ func(int) int) {
 	w.store.SetDown(true)
-	sleep(ctx, 2*time.Second)
+	waiter.For(ctx, 2*time.Second)
 	w.store.SetDown(false)
 }
 
 func loseWrites(ctx context.Context, w *world, _ func(int) int) {
 	w.store.SetLosing(true)
-	sleep(ctx, 2*time.Second)
+	waiter.For(ctx, 2*time.Second)
 	w.store.SetLosing(false)
 }
 
@@ -120,6 +114,6 @@
 func drainUpstream(ctx context.Context, w *world, pick func(int) int) {
 	i := pick(len(w.ways))
 	w.enter(i, "draining")
-	sleep(ctx, 2*time.Second)
+	waiter.For(ctx, 2*time.Second)
 	w.enter(i, "ready")
 }
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -10,6 +10,7 @@
 
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/version/replicator"
 )
 
@@ -79,20 +80,14 @@
 		if err != nil && ctx.Err() == nil {
 			pause = f.failed(err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		waiter.For(ctx, pause)
 	}
 	return nil
 }
 
 // idle waits a little. What peers pass on counts as read.
 func (f *Follower) idle(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(idlePoll):
-	}
+	waiter.For(ctx, idlePoll)
 	f.after = max(f.after, f.cfg.Replicator.Version(f.cfg.Table))
 	f.lastGood = time.Now()
 	if f.lastGood.Sub(f.failedAt) > forgiveAfter {
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -15,6 +15,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/mapswitcher"
 	"currantledge.example/currantledge/internal/version/rebalancer"
@@ -157,7 +158,7 @@
 	for ctx.Err() == nil {
 		if !l.Leading() {
 			clear(keepers)
-			wait(ctx, rosterPause)
+			waiter.For(ctx, rosterPause)
 			continue
 		}
 		if fence := l.cfg.Lease.Fence(); l.tenure == 0 || len(keepers) == 0 {
@@ -172,23 +173,14 @@
 		}
 		l.working.Unlock()
 		if complete {
-			wait(ctx, countInterval)
+			waiter.For(ctx, countInterval)
 		} else {
-			wait(ctx, rosterPause)
+			waiter.For(ctx, rosterPause)
 		}
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // keeper is what the leader knows of one epoch of a group.
 type keeper struct {
 	service   cataloguer.Service
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/version/rebalancer"
 )
 
@@ -448,13 +449,10 @@
 	return first
 }
 
+// pause waits, or returns the error of the context that ended first.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !waiter.For(ctx, d) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
