--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -310,6 +310,8 @@
 // still on its way is rejected.
 func (s *Switcher) reset(ctx context.Context, g Group, armed, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
 	return s.each(ctx, g, func(ctx context.Context, m Member) error {
+		// Each rank may turn out to be armed for another version.
+		armed := armed
 		for {
 			if err := s.disarm(ctx, m, g.Epoch, armed); err != nil {
 				return err
