Send no answer to a client that left while its request waited

Cause: the handler returned without an answer, which net/http sends as an empty 200. A client that only closed its sending side got an empty success without a signature. Seen while reading the change; the new test got '200 OK, Content-Length: 0' before. Ruled out: the same after a request was sent to an upstream, which ends with 502.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -328,8 +328,9 @@
 	}
 	if ctx.Err() != nil && time.Now().Before(c.deadline) {
 		f.cfg.Meter.Add(meter.GatewayCancelled)
-		f.logEnd(c, http.StatusServiceUnavailable, "client left")
-		return
+		f.logEnd(c, 0, "client left")
+		// A handler that returns without an answer sends an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	f.refuse(w, c, string(d.Reason), d.RetryAfter)
 }
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -317,3 +317,32 @@
 	require.Equal(t, http.StatusGatewayTimeout, status)
 	require.Less(t, time.Since(started), 600*time.Millisecond)
 }
+
+// Guards against an empty success for a client that closed its sending side while its request waited for an upstream.
+func TestWaitingClientThatLeftGetsNoAnswer(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	busy := func(net.Conn, *http.Request, string) { <-release }
+	var scripts []script
+	for range 8 {
+		scripts = append(scripts, busy)
+	}
+	s := newStage(t, scripts...)
+	var running sync.WaitGroup
+	for range 8 {
+		running.Go(func() { _, _, _, _ = s.send(t, "/once/", nil) })
+	}
+	require.Eventually(t, func() bool { return len(s.seen()) == 8 }, 5*time.Second, 5*time.Millisecond)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Close()) }()
+	_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nId: x\r\nKey: key\r\nDeadline: 1400\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Empty(t, string(answer))
+	close(release)
+	running.Wait()
+}
