Let a stopping leader abandon its switch before it gives up the lease

Cause: at the end of the process the lease was released while a switch was under way; its orders were then refused as without a lease, and the group stayed held until the next leader found it. The new test found rank 0 held. Now the lease is given up once no orders are under way.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -86,6 +86,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			// A switch that is under way is abandoned first; that takes the lease.
+			l.working.Lock()
+			defer l.working.Unlock()
 			l.leading.Store(false)
 			limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 			defer cancel()
--- /dev/null
+++ b/internal/version/mapleader/mapleader_test.go
@@ -0,0 +1,114 @@
+package mapleader_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/version/cataloguer"
+	"currantledge.example/currantledge/internal/version/mapleader"
+	"currantledge.example/currantledge/internal/version/mapswitcher"
+)
+
+// pair is a stand-in of a group of two ranks whose counts ask for another map. It takes every order.
+type pair struct {
+	mu    sync.Mutex
+	step  identifier.Step
+	held  map[string]bool
+	armed map[string]bool
+	// onArm is called with each order to arm a rank.
+	onArm func()
+}
+
+func (p *pair) Report(_ context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+	rank := identifier.Rank(0)
+	if m.Address == "1" {
+		rank = 1
+	}
+	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: rank, Size: 2, Open: true}, nil
+}
+
+func (p *pair) Counts(context.Context, mapswitcher.Member) (mapswitcher.Counts, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.step++
+	return mapswitcher.Counts{Step: p.step, Epoch: 1, Counts: []float64{float64(1000 * p.step), 1, 900, 1}}, nil
+}
+
+func (p *pair) Holdings(_ context.Context, m mapswitcher.Member) (mapswitcher.Holdings, error) {
+	experts := []identifier.Expert{0, 2}
+	if m.Address == "1" {
+		experts = []identifier.Expert{1, 3}
+	}
+	return mapswitcher.Holdings{Epoch: 1, Experts: [][]identifier.Expert{experts}}, nil
+}
+
+func (p *pair) Order(ctx context.Context, m mapswitcher.Member, _ mapswitcher.Epoch, o mapswitcher.Order) (mapswitcher.Status, error) {
+	if _, arms := o.(mapswitcher.Arm); arms && p.onArm != nil {
+		p.onArm()
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch o.(type) {
+	case mapswitcher.Prepare:
+		return mapswitcher.StatusDone, nil
+	case mapswitcher.Hold:
+		p.held[m.Address] = true
+	case mapswitcher.Release:
+		delete(p.held, m.Address)
+	case mapswitcher.Arm:
+		p.armed[m.Address] = true
+	case mapswitcher.Disarm:
+		delete(p.armed, m.Address)
+	}
+	return mapswitcher.StatusBegun, nil
+}
+
+func newLeader(c *contest, p *pair) *mapleader.Leader {
+	fleet := cataloguer.Fleet{
+		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{
+			Name: "s", Engine: &cataloguer.Engine{Sets: 1, Experts: 4, Places: 3, Spare: 2},
+		}}}),
+		Upstreams: []cataloguer.Upstream{{ID: "a", Service: "s", Address: "0"}, {ID: "b", Service: "s", Address: "1"}},
+	}
+	return mapleader.New(mapleader.Config{
+		Lease: c.a, Engines: p, Fleet: func() cataloguer.Fleet { return fleet },
+		LeaderHeard: func() bool { return false }, OthersServed: func() bool { return true },
+		GroupState: func(identifier.Service, bool) {}, Log: logger.Discard(), Meter: meter.New(),
+	})
+}
+
+// Guards against a group that stays held because its leader was stopped between holding and releasing it.
+func TestStoppedLeaderLeavesNothingHeld(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
+		var once sync.Once
+		stopped := make(chan struct{})
+		p.onArm = func() {
+			once.Do(func() { close(stopped) })
+			cancel()
+		}
+		l := newLeader(newContest(), p)
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.RunLease(ctx) })
+		running.Go(func() { _ = l.Run(ctx) })
+		running.Wait()
+		time.Sleep(time.Second)
+		<-stopped
+		require.Empty(t, p.held)
+		require.Empty(t, p.armed)
+		require.False(t, l.Leading())
+	})
+}
