Read seeds in one place and state the Retry-After share once

Cause: the last read of the change found the loop over seeds at the start and at a reload, and the constant for how long clients honour Retry-After in both admitter and forwarder. Change: seedHosts serves both; admitter.RetryShare serves both packages. No behaviour changes and no test was touched.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -140,17 +140,11 @@
 	}, assumedGateways)
 	g.admitter.SetGateways(assumedGateways)
 	g.requester = requester.New(requester.Config{})
-	var seeds []string
-	for _, s := range settings.Seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil {
-			seeds = append(seeds, host)
-		}
-	}
 	var err error
 	g.gossiper, err = gossiper.New(gossiper.Config{
 		Node:        settings.Node,
 		Listen:      net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)),
-		Seeds:       seeds,
+		Seeds:       seedHosts(settings),
 		Tell:        g.tell,
 		Changed:     g.peersChanged,
 		PeerChanged: g.logPeer,
@@ -181,6 +175,17 @@
 	return g, nil
 }
 
+// seedHosts returns the IP numbers of the seeds; the ports are those of control listeners.
+func seedHosts(settings platform.Settings) []string {
+	var hosts []string
+	for _, s := range settings.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // assumedGateways is taken for the number of gateways until peers are known.
 const assumedGateways = 8
 
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -180,10 +180,8 @@
 		g.log.Event(logger.EventSettingsRead).Bool("signalled", signalled).AnErr("error", err).Send()
 		return
 	}
-	for _, s := range settings.Seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil {
-			g.gossiper.Add(host)
-		}
+	for _, host := range seedHosts(settings) {
+		g.gossiper.Add(host)
 	}
 	g.log.Event(logger.EventSettingsRead).Bool("signalled", signalled).Int("seeds", len(settings.Seeds)).Send()
 }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -48,10 +48,11 @@
 	minRetryAfter = 100 * time.Millisecond
 	// maxRetryAfter is beyond what clients honour; refuse cuts it to that.
 	maxRetryAfter = time.Minute
-	// retryShare is the part of the time left up to which clients honour Retry-After.
-	retryShare = 3
 )
 
+// RetryShare divides a client's time left into the longest Retry-After that it honours.
+const RetryShare = 3
+
 // service is what is believed of a service.
 type service struct {
 	cataloguer.Service
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -127,5 +127,5 @@
 
 func refuse(now time.Time, t *Ticket, reason Reason, wait time.Duration) Refused {
 	left := t.need.Deadline.Sub(now)
-	return Refused{Reason: reason, RetryAfter: max(min(wait, left/retryShare), minRetryAfter)}
+	return Refused{Reason: reason, RetryAfter: max(min(wait, left/RetryShare), minRetryAfter)}
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -40,8 +40,6 @@
 	minDeadline = 10 * time.Millisecond
 	// unknownRetryAfter is sent while no configuration is known.
 	unknownRetryAfter = 300 * time.Millisecond
-	// retryShare is the part of the time left up to which clients honour Retry-After.
-	retryShare = 3
 	// maxUnsent bounds the upstreams that are tried without the request reaching one.
 	maxUnsent = 6
 )
@@ -256,7 +254,7 @@
 	}
 	if c.sends > 0 && !f.cfg.Budgeter.Take(now, c.service) {
 		// Repeats become free as the window of the budget moves on, which takes seconds.
-		return admitter.Refused{Reason: ReasonBudget, RetryAfter: time.Until(c.deadline) / retryShare}
+		return admitter.Refused{Reason: ReasonBudget, RetryAfter: time.Until(c.deadline) / admitter.RetryShare}
 	}
 	ticket := f.cfg.Admitter.Request(now, admitter.Need{
 		Service:  c.service,
