Tell gateways and the map leader at once that a group works again

Cause: after an outage each gateway found out for itself that the group of a service works again, 0.25 to 0.5 s late (probes every 350 ms, the leader's reports 200 ms behind, a report of a dark rank 300 ms more).

Change: the gateway whose request is served tells its peers and the leader at once. The leader then takes the epoch from the ranks' holdings, which are not behind, instead of waiting for reports. Probes are spread over all gateways, one each 45 ms. A Prepare without an answer is repeated after 128 ms (16 ranks) instead of 250 ms. The counts of peers are summed every 50 ms instead of with each datagram, which 44 gateways send 215 times a second.

Orders of the leader are not what takes the time: 200 to 300 ms.

--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -20,6 +20,7 @@
 	Stopping      bool              `cbor:"stopping,omitempty"`
 	Leading       bool              `cbor:"leading,omitempty"`
 	Groups        map[string]bool   `cbor:"groups,omitempty"`
+	Opened        map[string]uint64 `cbor:"opened,omitempty"`
 	StoreLost     bool              `cbor:"storeLost,omitempty"`
 	Resigned      uint64            `cbor:"resigned,omitempty"`
 	Peers         []string          `cbor:"peers,omitempty"`
@@ -38,6 +39,7 @@
 		Stopping:      s.Stopping,
 		Leading:       s.Leading,
 		Groups:        convert[string](s.Groups),
+		Opened:        convert[string](s.Opened),
 		StoreLost:     s.StoreLost,
 		Resigned:      s.Resigned,
 		Peers:         s.Peers,
@@ -63,6 +65,7 @@
 		Stopping:      w.Stopping,
 		Leading:       w.Leading,
 		Groups:        convert[identifier.Service](w.Groups),
+		Opened:        convert[identifier.Service](w.Opened),
 		StoreLost:     w.StoreLost,
 		Resigned:      w.Resigned,
 		Peers:         w.Peers,
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -48,6 +48,8 @@
 	// Leading is set for the leader of the expert maps. Groups holds which services' groups it sees working.
 	Leading bool
 	Groups  map[identifier.Service]bool
+	// Opened counts, for each service, how often the gateway's own requests showed that a closed group works again.
+	Opened map[identifier.Service]uint64
 	// StoreLost is set while the platform does not answer the gateway.
 	StoreLost bool
 	// Resigned is the version of the lease that the gateway has given up without being able to write so, or 0.
@@ -72,8 +74,8 @@
 	Seeds []string
 	// Tell fills in the state to send.
 	Tell func(*State)
-	// Changed is called after each accepted datagram and each look for silent peers.
-	Changed func(now time.Time)
+	// Heard is called after each accepted datagram, with the state of its sender before, or nil.
+	Heard func(p Peer, before *Peer)
 	// PeerChanged is called when a peer is heard first or again, or falls silent.
 	PeerChanged func(p Peer)
 }
@@ -224,7 +226,9 @@
 	if back && g.cfg.PeerChanged != nil {
 		g.cfg.PeerChanged(*peer)
 	}
-	g.cfg.Changed(now)
+	if g.cfg.Heard != nil {
+		g.cfg.Heard(*peer, known)
+	}
 }
 
 // judge marks silent peers and forgets those that stay away.
@@ -246,7 +250,6 @@
 			g.cfg.PeerChanged(p)
 		}
 	}
-	g.cfg.Changed(now)
 }
 
 // Incarnation returns that of this gateway.
--- a/internal/connection/gossiper/gossiper_test.go
+++ b/internal/connection/gossiper/gossiper_test.go
@@ -33,7 +33,6 @@
 			s.Running = map[identifier.Upstream]int{"u": int(running.Load())}
 			s.Leading = true
 		},
-		Changed: func(time.Time) {},
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -131,7 +131,7 @@
 		FailureDomain: settings.FailureDomain,
 		ColdFactor:    settings.Bounds.ColdFactor,
 		ColdSlack:     settings.Bounds.ColdSlack,
-		GroupChanged:  g.logGroup,
+		GroupChanged:  g.groupChanged,
 	})
 	g.budgeter = budgeter.New(budgeter.Config{
 		Ratio:  settings.Bounds.BudgetRatio,
@@ -146,7 +146,7 @@
 		Listen:      net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)),
 		Seeds:       seedHosts(settings),
 		Tell:        g.tell,
-		Changed:     g.peersChanged,
+		Heard:       g.peerHeard,
 		PeerChanged: g.logPeer,
 	})
 	if err != nil {
@@ -205,6 +205,7 @@
 		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
 	}
 	s.StoreLost = g.operators.Lost()
+	s.Opened = g.groups.openings()
 	s.Resigned = g.lease.Resigned()
 	if s.Leading = g.leader.Leading(); s.Leading {
 		s.Groups = g.groups.all()
@@ -212,19 +213,32 @@
 	s.Stopping = g.isStopping()
 }
 
-// peersChanged takes over what the peers run and how many share the bounds.
-func (g *gateway) peersChanged(now time.Time) {
+// peerHeard takes over what a peer has seen of groups.
+func (g *gateway) peerHeard(p gossiper.Peer, before *gossiper.Peer) {
+	if p.Leading {
+		for s, open := range p.Groups {
+			g.groups.seen(s, open)
+		}
+	}
+	if before == nil || before.Incarnation != p.Incarnation {
+		return
+	}
+	for s, n := range p.Opened {
+		if n > before.Opened[s] {
+			g.leader.Opened(s)
+			g.admitter.GroupOpened(time.Now(), s)
+		}
+	}
+}
+
+// countPeers takes over what the peers run and how many share the bounds.
+func (g *gateway) countPeers(now time.Time) {
 	peers := g.gossiper.Peers()
 	running := map[identifier.Upstream]int{}
 	for _, p := range peers {
 		if p.Silent {
 			continue
 		}
-		if p.Leading {
-			for s, open := range p.Groups {
-				g.groups.seen(s, open)
-			}
-		}
 		for id, n := range p.Running {
 			running[id] += n
 		}
@@ -251,12 +265,17 @@
 		Dur("ageMs", time.Since(p.Heard)).Uint64("incarnation", uint64(p.Incarnation)).Send()
 }
 
-func (g *gateway) logGroup(s identifier.Service, closed bool, after time.Duration) {
+func (g *gateway) groupChanged(c admitter.GroupChange) {
 	event := logger.EventGroupOpened
-	if closed {
+	if c.Closed {
 		event = logger.EventGroupClosed
 	}
-	g.log.Event(event).Str("service", string(s)).Dur("closedMs", after).Send()
+	g.log.Event(event).Str("service", string(c.Service)).Str("cause", string(c.Cause)).Dur("closedMs", c.Lasted).Send()
+	if !c.Closed && c.Cause == admitter.CauseProgress {
+		g.groups.opened(c.Service)
+		g.gossiper.Tell()
+		g.leader.Opened(c.Service)
+	}
 }
 
 // takeOver brings changed tables into force.
@@ -297,6 +316,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			g.countPeers(now)
 			g.admitter.Tick(now)
 			g.replicator.Release(now)
 			g.pull(ctx, now)
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -48,6 +48,8 @@
 	runs     map[string]int
 	// slow delays the answers of the upstream.
 	slow time.Duration
+	// closed makes the upstream reject requests as a rank of a closed group does.
+	closed bool
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -67,10 +69,16 @@
 	id := r.Header.Get("Request-Id")
 	d.mu.Lock()
 	d.runs[id]++
-	slow := d.slow
+	slow, closed := d.slow, d.closed
 	d.mu.Unlock()
 	time.Sleep(slow)
 	w.Header().Set("Request-Id", id)
+	if closed {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Runner-Load", "0,0,4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Runner-Stamp", "stamp")
 	_, _ = io.WriteString(w, "for "+id)
 }
@@ -81,7 +89,7 @@
 	for _, p := range prefixes {
 		routes = append(routes, fmt.Sprintf(`{"name":"r","host":"h.example","prefix":"%s","kind":"non_idempotent","timeoutMs":4000,"sloMs":200,"service":"s","attempts":1}`, p))
 	}
-	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
+	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","engine":{}}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
 }
 
 // gateway is one running gateway.
@@ -255,3 +263,36 @@
 	code, _ := second.send(t, "/a/", "2")
 	require.Equal(t, http.StatusNotFound, code)
 }
+
+// Guards against gateways that go on refusing requests while one of them has seen that the group works again.
+func TestOpenedGroupIsToldToPeers(t *testing.T) {
+	d := newDeployment(t)
+	d.register()
+	d.configure(1, "/a/")
+	first := d.start(t, "127.0.0.1", 17342, "", d.address)
+	second := d.start(t, "127.0.0.2", 17342, "127.0.0.1:1", d.address)
+	require.Eventually(t, func() bool { return first.isReady(t) && second.isReady(t) }, wait, 10*time.Millisecond)
+	gateways := []*gateway{first, second}
+	for _, g := range gateways {
+		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), "peer gateway heard") }, wait, 10*time.Millisecond)
+	}
+	d.setClosed(true)
+	for i, g := range gateways {
+		go g.send(t, "/a/", fmt.Sprint("closing", i))
+		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), `"cause":"rejection"`) }, wait, 10*time.Millisecond)
+	}
+	d.setClosed(false)
+	require.Eventually(t, func() bool {
+		code, _ := first.send(t, "/a/", "probe")
+		return code == http.StatusOK
+	}, wait, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		return strings.Contains(first.log.String()+second.log.String(), `"cause":"peer"`)
+	}, time.Second, 5*time.Millisecond)
+}
+
+func (d *deployment) setClosed(closed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = closed
+}
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -15,10 +15,25 @@
 	admitter *admitter.Admitter
 	mu       sync.Mutex
 	open     map[identifier.Service]bool
+	// counts holds how often requests of this gateway showed that a closed group works again.
+	counts map[identifier.Service]uint64
 }
 
 func newGroupStates(a *admitter.Admitter) *groupStates {
-	return &groupStates{admitter: a, open: map[identifier.Service]bool{}}
+	return &groupStates{admitter: a, open: map[identifier.Service]bool{}, counts: map[identifier.Service]uint64{}}
+}
+
+// opened notes that requests of this gateway showed that the group of a service works again.
+func (g *groupStates) opened(s identifier.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counts[s]++
+}
+
+func (g *groupStates) openings() map[identifier.Service]uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.counts)
 }
 
 // seen notes whether the group of a service works.
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -27,9 +27,9 @@
 	// running requests for which none of them progressing is no chance.
 	stallAfter   = 600 * time.Millisecond
 	stallStreams = 3
-	// probePause is the time between two requests that try a closed group. Each costs a repeat; the leader of the expert
-	// maps reads the state of the group more often.
-	probePause = 350 * time.Millisecond
+	// probeInterval is the time between two requests that try a closed group, over all gateways. Each costs a repeat, and
+	// the first that sees the group work tells the others.
+	probeInterval = 45 * time.Millisecond
 	// usualOutage is how long a group is expected to be closed before one was seen to open again: a rank restarts in
 	// some seconds.
 	usualOutage = 4 * time.Second
@@ -74,7 +74,7 @@
 	// Draw returns uniform numbers in [0, 1) to break ties.
 	Draw func() float64
 	// GroupChanged is called, without a lock, when the group of a service closes or opens.
-	GroupChanged func(s identifier.Service, closed bool, after time.Duration)
+	GroupChanged func(GroupChange)
 }
 
 // Admitter holds the beliefs and queues of one gateway.
@@ -96,7 +96,7 @@
 		cfg.Draw = rand.Float64
 	}
 	if cfg.GroupChanged == nil {
-		cfg.GroupChanged = func(identifier.Service, bool, time.Duration) {}
+		cfg.GroupChanged = func(GroupChange) {}
 	}
 	return &Admitter{
 		cfg:       cfg,
@@ -238,7 +238,7 @@
 	s := a.service(u.Service)
 	switch r := result.(type) {
 	case Served:
-		a.open(now, s)
+		a.open(now, s, CauseProgress)
 		u.pause = 0
 		u.observe(now, 0)
 		u.first = smooth(u.first, r.First)
@@ -252,12 +252,12 @@
 		u.pausedTill = now.Add(fullPause)
 		// A rank with free slots rejects requests only while its group does not work.
 		if r.LoadKnown && r.Load.Running < r.Load.Slots && r.Load.Waiting == 0 {
-			a.closeGroup(now, s)
+			a.closeGroup(now, s, CauseRejection)
 		}
 	case Replaced:
 		u.pausedTill = now.Add(maxUnreachablePause)
 	case Leaving:
-		a.open(now, s)
+		a.open(now, s, CauseProgress)
 		u.pausedTill = now.Add(leavingPause)
 	case Cancelled:
 	}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -63,10 +63,10 @@
 // grant gives the request an upstream if one can take it now.
 func (a *Admitter) grant(now time.Time, s *service, t *Ticket) bool {
 	if !s.closed && a.stalled(now, s) {
-		a.closeGroup(now, s)
+		a.closeGroup(now, s, CauseStall)
 	}
 	if s.closed {
-		if now.Sub(s.lastProbe) < probePause {
+		if now.Sub(s.lastProbe) < a.probePause() {
 			return false
 		}
 		s.lastProbe = now
--- a/internal/version/mapleader/estimator.go
+++ b/internal/version/mapleader/estimator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"currantledge.example/currantledge/internal/version/mapswitcher"
@@ -52,6 +53,10 @@
 		}
 		e.last[r] = c.Counts
 	}
+	if slices.Max(sample) == 0 {
+		// Nothing was chosen, or these are the first counts since the group formed.
+		return
+	}
 	weight := 1.0
 	if !e.lastAt.IsZero() {
 		weight = 1 - math.Exp(-now.Sub(e.lastAt).Seconds()/smoothing.Seconds())
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -15,7 +15,6 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
-	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/mapswitcher"
 	"currantledge.example/currantledge/internal/version/rebalancer"
@@ -26,6 +25,12 @@
 	countInterval = 500 * time.Millisecond
 	// rosterPause is the pause before a group that is not complete is read again.
 	rosterPause = 150 * time.Millisecond
+	// firstCountPause is the pause before the counts of a group that has just formed are read again: what is in demand
+	// may have changed while it was closed.
+	firstCountPause = 200 * time.Millisecond
+	// reportLag is how far the reports of ranks may be behind. For so long, requests that were served tell more than
+	// reports of a closed group.
+	reportLag = 500 * time.Millisecond
 	// callTimeout bounds one call of a rank.
 	callTimeout = 300 * time.Millisecond
 	// leaseInterval is how often the lease is looked after.
@@ -67,11 +72,51 @@
 	demand map[identifier.Service]*estimator
 	// working is held while orders are given, so that the lease is not resigned in between.
 	working sync.Mutex
+	// opened holds when the group of a service was last seen to work after it had been closed, and wake ends a pause then.
+	openedMu sync.Mutex
+	opened   map[identifier.Service]time.Time
+	wake     chan struct{}
+	// asked counts the ranks that were asked whether their group works; each time another one is asked.
+	asked int
 }
 
 // New returns a Leader.
 func New(cfg Config) *Leader {
-	return &Leader{cfg: cfg, demand: map[identifier.Service]*estimator{}}
+	return &Leader{
+		cfg:    cfg,
+		demand: map[identifier.Service]*estimator{},
+		opened: map[identifier.Service]time.Time{},
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Opened tells that requests show that the closed group of a service works again, ahead of the reports of its ranks.
+func (l *Leader) Opened(s identifier.Service) {
+	l.openedMu.Lock()
+	l.opened[s] = time.Now()
+	l.openedMu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// justOpened tells whether requests of a service were served so recently that reports may be older.
+func (l *Leader) justOpened(s identifier.Service) bool {
+	l.openedMu.Lock()
+	defer l.openedMu.Unlock()
+	return time.Since(l.opened[s]) < reportLag
+}
+
+// pause waits until the time has passed or a group opens.
+func (l *Leader) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.wake:
+	}
 }
 
 // Leading tells whether this gateway leads.
@@ -161,25 +206,21 @@
 	for ctx.Err() == nil {
 		if !l.Leading() {
 			clear(keepers)
-			waiter.For(ctx, rosterPause)
+			l.pause(ctx, rosterPause)
 			continue
 		}
 		if fence := l.cfg.Lease.Fence(); l.tenure == 0 || len(keepers) == 0 {
 			l.tenure = fence
 		}
-		complete := true
+		next := countInterval
 		l.working.Lock()
 		for _, s := range l.groupServices() {
-			if l.Leading() && !l.tend(ctx, s, keepers) {
-				complete = false
+			if l.Leading() {
+				next = min(next, l.tend(ctx, s, keepers))
 			}
 		}
 		l.working.Unlock()
-		if complete {
-			waiter.For(ctx, countInterval)
-		} else {
-			waiter.For(ctx, rosterPause)
-		}
+		l.pause(ctx, next)
 	}
 	return nil
 }
@@ -195,10 +236,12 @@
 	step identifier.Step
 	// unresolved is set if the group may be held.
 	unresolved bool
+	// counted is set once the counts were read in this epoch.
+	counted bool
 }
 
-// tend looks after the groups of a service once and tells whether they work.
-func (l *Leader) tend(ctx context.Context, s cataloguer.Service, keepers map[identifier.ModelGroup]*keeper) bool {
+// tend looks after the groups of a service once and returns the pause until the next time.
+func (l *Leader) tend(ctx context.Context, s cataloguer.Service, keepers map[identifier.ModelGroup]*keeper) time.Duration {
 	var known []*keeper
 	for _, k := range keepers {
 		if k.service.Name == s.Name {
@@ -209,21 +252,24 @@
 		found, open := l.readGroups(ctx, s)
 		l.cfg.GroupState(s.Name, open)
 		if !open {
-			return false
+			return rosterPause
 		}
 		for _, k := range found {
 			keepers[k.group.Name] = k
 		}
 		known = found
 	}
-	works := true
+	next := countInterval
 	for _, k := range known {
+		if !k.counted {
+			next = min(next, firstCountPause)
+		}
 		if err := l.keep(ctx, k); err != nil {
-			works = false
+			next = min(next, rosterPause)
 			delete(keepers, k.group.Name)
 		}
 	}
-	return works
+	return next
 }
 
 // members returns the upstreams of a service in a fixed order.
@@ -259,10 +305,15 @@
 	if len(members) == 0 {
 		return nil, false
 	}
-	// One closed rank shows that its group is closed, at the price of one call.
-	first, errs := gather(ctx, members[:1], l.cfg.Engines.Report)
-	if errs[0] == nil && !first[0].Open {
-		return nil, false
+	justOpened := l.justOpened(s.Name)
+	if !justOpened {
+		// One closed rank shows that its group is closed, at the price of one call.
+		l.asked++
+		one := l.asked % len(members)
+		first, errs := gather(ctx, members[one:one+1], l.cfg.Engines.Report)
+		if errs[0] != nil || !first[0].Open {
+			return nil, false
+		}
 	}
 	reports, errs := gather(ctx, members, l.cfg.Engines.Report)
 	groups := map[identifier.ModelGroup]*roster{}
@@ -277,7 +328,7 @@
 	}
 	var out []*keeper
 	for name, g := range groups {
-		if !g.complete() {
+		if !g.complete(justOpened) {
 			continue
 		}
 		k, err := l.newKeeper(ctx, s, name, g)
@@ -297,24 +348,29 @@
 }
 
 func (g *roster) add(m mapswitcher.Member, r mapswitcher.Report) {
-	// Draining upstreams and their successors may report the same rank; the newer epoch holds.
-	if len(g.reports) > 0 && r.Epoch > g.reports[0].Epoch {
-		g.members, g.reports = nil, nil
-	}
-	if len(g.reports) > 0 && r.Epoch < g.reports[0].Epoch {
+	at, found := slices.BinarySearchFunc(g.reports, r, func(a, b mapswitcher.Report) int { return int(a.Rank - b.Rank) })
+	if found {
+		// Draining upstreams and their successors may report the same rank; the newer epoch holds.
+		if r.Epoch >= g.reports[at].Epoch {
+			g.members[at], g.reports[at] = m, r
+		}
 		return
 	}
-	at, _ := slices.BinarySearchFunc(g.reports, r, func(a, b mapswitcher.Report) int { return int(a.Rank - b.Rank) })
 	g.members = slices.Insert(g.members, at, m)
 	g.reports = slices.Insert(g.reports, at, r)
 }
 
-func (g *roster) complete() bool {
+// complete tells whether all ranks are there and the group works. If it has just opened, reports may still call it
+// closed, or be of the epoch before.
+func (g *roster) complete(justOpened bool) bool {
 	if len(g.reports) == 0 || len(g.reports) != g.reports[0].Size {
 		return false
 	}
 	for i, r := range g.reports {
-		if int(r.Rank) != i || !r.Open {
+		if int(r.Rank) != i {
+			return false
+		}
+		if !justOpened && (!r.Open || r.Epoch != g.reports[0].Epoch) {
 			return false
 		}
 	}
@@ -324,7 +380,7 @@
 func (l *Leader) newKeeper(ctx context.Context, s cataloguer.Service, name identifier.ModelGroup, g *roster) (*keeper, error) {
 	k := &keeper{
 		service:   s,
-		group:     mapswitcher.Group{Name: name, Epoch: g.reports[0].Epoch, Members: g.members},
+		group:     mapswitcher.Group{Name: name, Members: g.members},
 		estimator: newEstimator(s.Engine.Sets, s.Engine.Experts, len(g.members), l.demand[s.Name]),
 		switcher: mapswitcher.New(mapswitcher.Config{
 			Engines:  l.cfg.Engines,
@@ -333,11 +389,14 @@
 		}),
 	}
 	l.demand[s.Name] = k.estimator
-	if err := l.readLayout(ctx, k); err != nil {
+	epoch, err := l.readLayout(ctx, k)
+	if err != nil {
 		return nil, err
 	}
+	k.group.Epoch = epoch
 	for _, r := range g.reports {
-		k.unresolved = k.unresolved || r.Held != nil || r.Armed != 0
+		// Nothing that was held or armed outlives the epoch.
+		k.unresolved = k.unresolved || r.Epoch == k.group.Epoch && (r.Held != nil || r.Armed != 0)
 	}
 	if k.unresolved {
 		return k, l.recoverGroup(ctx, k)
@@ -345,7 +404,8 @@
 	return k, nil
 }
 
-func (l *Leader) readLayout(ctx context.Context, k *keeper) error {
+// readLayout reads what the ranks hold and returns their epoch. Unlike reports, these answers are not behind.
+func (l *Leader) readLayout(ctx context.Context, k *keeper) (mapswitcher.Epoch, error) {
 	holdings, errs := gather(ctx, k.group.Members, l.cfg.Engines.Holdings)
 	layout := make(rebalancer.Layout, k.service.Engine.Sets)
 	for s := range layout {
@@ -353,17 +413,17 @@
 	}
 	for r, h := range holdings {
 		if errs[r] != nil {
-			return errs[r]
+			return 0, errs[r]
 		}
-		if h.Epoch != k.group.Epoch || h.Version != holdings[0].Version || len(h.Experts) != len(layout) {
-			return mapswitcher.ErrEpoch
+		if h.Epoch != holdings[0].Epoch || h.Version != holdings[0].Version || len(h.Experts) != len(layout) {
+			return 0, mapswitcher.ErrEpoch
 		}
 		for s, experts := range h.Experts {
 			layout[s][r] = experts
 		}
 	}
 	k.layout = layout
-	return nil
+	return holdings[0].Epoch, nil
 }
 
 // recoverGroup ends what an earlier leader or a failed switch has left. The caller has been in charge, or the earlier
@@ -382,9 +442,13 @@
 		return err
 	}
 	k.unresolved = false
-	if err := l.readLayout(ctx, k); err != nil {
+	epoch, err := l.readLayout(ctx, k)
+	if err != nil {
 		return err
 	}
+	if epoch != k.group.Epoch {
+		return mapswitcher.ErrEpoch
+	}
 	l.cfg.Log.Event(logger.EventHoldReleased).Str("group", string(k.group.Name)).Uint64("epoch", uint64(k.group.Epoch)).Send()
 	return nil
 }
@@ -413,6 +477,7 @@
 		}
 	}
 	k.estimator.observe(time.Now(), counts)
+	k.counted = true
 	if counts[0].Step < k.step {
 		// The ranks are still armed for the last switch and take no new map.
 		return nil
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,19 @@
 	armed map[string]bool
 	// onArm is called with each order to arm a rank.
 	onArm func()
+	// closed makes the ranks report that their group does not work.
+	closed atomic.Bool
+	orders int
+}
+
+// countsRead is longer than the leader takes to read the counts of a group twice and to switch its map.
+const countsRead = 400 * time.Millisecond
+
+// taken tells whether the ranks got orders.
+func (p *pair) taken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.orders > 0
 }
 
 func (p *pair) Report(_ context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
@@ -32,7 +46,7 @@
 	if m.Address == "1" {
 		rank = 1
 	}
-	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: rank, Size: 2, Open: true}, nil
+	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: rank, Size: 2, Open: !p.closed.Load()}, nil
 }
 
 func (p *pair) Counts(context.Context, mapswitcher.Member) (mapswitcher.Counts, error) {
@@ -59,6 +73,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.orders++
 	switch o.(type) {
 	case mapswitcher.Prepare:
 		return mapswitcher.StatusDone, nil
@@ -112,3 +127,26 @@
 		require.False(t, l.Leading())
 	})
 }
+
+// Guards against a group that runs on its first map for as long as reports are behind, although requests show that it
+// works.
+func TestOpenedGroupIsBalancedAheadOfReports(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
+		p.closed.Store(true)
+		l := newLeader(newContest(), p)
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.RunLease(ctx) })
+		running.Go(func() { _ = l.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		require.True(t, l.Leading())
+		require.False(t, p.taken())
+		l.Opened("s")
+		time.Sleep(countsRead)
+		require.True(t, p.taken())
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -34,6 +34,11 @@
 	Members []Member
 }
 
+// mapTimeout returns how long one try of a Prepare may take.
+func (g Group) mapTimeout() time.Duration {
+	return mapTimeout + time.Duration(len(g.Members))*mapTimeoutPerRank
+}
+
 // Report is the state of a rank, as of some hundred milliseconds ago.
 type Report struct {
 	Group identifier.ModelGroup
@@ -129,8 +134,10 @@
 const (
 	// orderTimeout bounds one try of an order; ranks answer within some ms.
 	orderTimeout = 60 * time.Millisecond
-	// mapTimeout bounds one try of a Prepare, which carries the whole map over a slow link.
-	mapTimeout = 250 * time.Millisecond
+	// mapTimeout bounds one try of a Prepare. It grows with the ranks, since the leader's link carries the whole map once
+	// for each of them.
+	mapTimeout        = 80 * time.Millisecond
+	mapTimeoutPerRank = 3 * time.Millisecond
 	// retryPause is the pause between two tries.
 	retryPause = 10 * time.Millisecond
 	// preparePoll is how often a rank that is loading is asked again.
@@ -236,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := s.each(ctx, g, func(ctx context.Context, m Member) error {
-		return s.confirm(ctx, m, g.Epoch, order, mapTimeout, StatusBegun, StatusDone)
+		return s.confirm(ctx, m, g.Epoch, order, g.mapTimeout(), StatusBegun, StatusDone)
 	})
 	if err != nil || loads == 0 {
 		return err
@@ -246,7 +253,7 @@
 	}
 	return s.each(ctx, g, func(ctx context.Context, m Member) error {
 		for {
-			err := s.confirm(ctx, m, g.Epoch, order, mapTimeout, StatusDone)
+			err := s.confirm(ctx, m, g.Epoch, order, g.mapTimeout(), StatusDone)
 			if !errors.Is(err, errStillLoading) {
 				return err
 			}
@@ -316,7 +323,7 @@
 			if err := s.disarm(ctx, m, g.Epoch, armed); err != nil {
 				return err
 			}
-			err := s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, mapTimeout, StatusBegun, StatusDone)
+			err := s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, g.mapTimeout(), StatusBegun, StatusDone)
 			if !errors.Is(err, errConflict) {
 				return err
 			}
@@ -402,7 +409,7 @@
 		status, err := s.cfg.Engines.Order(limited, m, epoch, o)
 		cancel()
 		if err == nil {
-			return judge(status, wanted)
+			return errors.Wrapf(judge(status, wanted), "%s, %T", m.Upstream, o)
 		}
 		if err := pause(ctx, retryPause); err != nil {
 			return errors.Wrapf(err, "no answer of %s to %T", m.Upstream, o)
