Let clients that came back wait, and say in the logs when a client left

Cause: a client whose stream broke comes back once, with the last event it has. Its deadline may still be nearly whole, so it was taken for a new one and refused while the group was closed: lost, as it does not come again.

Change: a request with a last event, and a stream that has begun, count as returned; returned requests wait as long as their client does. New requests are refused as before, with the time to come back.

The log of a request now tells the first byte's time of each send, and "client left" apart from "deadline": both were called deadline, which hid that about 100 clients left between 12 and 13.5 s after they had been held.

Tests: a load of clients against a stand-in of a group in virtual time; the returned client's fails without the change.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -62,13 +62,15 @@
 // Config sets up a Requester.
 type Config struct {
 	DialTimeout time.Duration
+	// Dial opens connections; TCP if it is nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Requester keeps idle connections to upstreams.
 type Requester struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*connection
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	mu   sync.Mutex
+	idle map[string][]*connection
 }
 
 type connection struct {
@@ -82,8 +84,11 @@
 	if cfg.DialTimeout <= 0 {
 		cfg.DialTimeout = defaultDialTimeout
 	}
-	dialer := net.Dialer{Timeout: cfg.DialTimeout, Control: setSilentTimeout}
-	return &Requester{dialer: dialer, idle: map[string][]*connection{}}
+	if cfg.Dial == nil {
+		dialer := &net.Dialer{Timeout: cfg.DialTimeout, Control: setSilentTimeout}
+		cfg.Dial = dialer.DialContext
+	}
+	return &Requester{dial: cfg.Dial, idle: map[string][]*connection{}}
 }
 
 func setSilentTimeout(_, _ string, raw syscall.RawConn) error {
@@ -246,7 +251,7 @@
 			return c, nil
 		}
 	}
-	raw, err := r.dialer.DialContext(ctx, "tcp", q.Address)
+	raw, err := r.dial(ctx, "tcp", q.Address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", q.Address), ErrNotSent)
 	}
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -61,11 +61,16 @@
 	}
 }
 
-func granted(t *testing.T, ticket *admitter.Ticket) identifier.Upstream {
+func grant(t *testing.T, ticket *admitter.Ticket) admitter.Granted {
 	t.Helper()
 	g, ok := decided(ticket).(admitter.Granted)
 	require.True(t, ok)
-	return g.Upstream.ID
+	return g
+}
+
+func granted(t *testing.T, ticket *admitter.Ticket) identifier.Upstream {
+	t.Helper()
+	return grant(t, ticket).Upstream.ID
 }
 
 func refused(t *testing.T, ticket *admitter.Ticket) admitter.Refused {
@@ -131,15 +136,15 @@
 	t.Parallel()
 	w := newWorld(upstream("x", model, 1))
 	w.Progressed(start, model)
-	granted(t, w.Request(start, need(model, start)))
+	first := grant(t, w.Request(start, need(model, start)))
 	late := w.Request(start, need(model, start))
 	now := start.Add(300 * time.Millisecond)
 	w.Progressed(now, model)
 	fresh := w.Request(now, need(model, now))
-	w.Done(now, "x", admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
-	granted(t, fresh)
+	w.Done(now, first.Upstream.ID, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	second := grant(t, fresh)
 	require.Nil(t, decided(late))
-	w.Done(now, "x", admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	w.Done(now, second.Upstream.ID, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
 	granted(t, late)
 }
 
@@ -148,8 +153,8 @@
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 1))
-	granted(t, w.Request(start, need(shop, start)))
-	w.Done(start, "x", admitter.Served{First: time.Second, Whole: 4 * time.Second})
+	first := grant(t, w.Request(start, need(shop, start)))
+	w.Done(start, first.Upstream.ID, admitter.Served{First: time.Second, Whole: 4 * time.Second})
 	granted(t, w.Request(start, need(shop, start)))
 	waiting := 0
 	for range 10 {
@@ -168,8 +173,8 @@
 func TestClosedGroup(t *testing.T) {
 	t.Parallel()
 	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
-	granted(t, w.Request(start, need(model, start)))
-	w.Done(start, "x", admitter.Rejected{Load: admitter.Load{Slots: 4}, LoadKnown: true})
+	first := grant(t, w.Request(start, need(model, start)))
+	w.Done(start, first.Upstream.ID, admitter.Rejected{Load: admitter.Load{Slots: 4}, LoadKnown: true})
 	r := refused(t, w.Request(start, need(model, start)))
 	require.Equal(t, admitter.ReasonGroupClosed, r.Reason)
 	require.Equal(t, 8*time.Second/3, r.RetryAfter)
@@ -186,9 +191,9 @@
 func TestFullUpstreamDoesNotCloseTheGroup(t *testing.T) {
 	t.Parallel()
 	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
-	first := granted(t, w.Request(start, need(model, start)))
-	w.Done(start, first, admitter.Rejected{Load: admitter.Load{Running: 4, Waiting: 2, Slots: 4}, LoadKnown: true})
-	require.NotEqual(t, first, granted(t, w.Request(start, need(model, start))))
+	first := grant(t, w.Request(start, need(model, start)))
+	w.Done(start, first.Upstream.ID, admitter.Rejected{Load: admitter.Load{Running: 4, Waiting: 2, Slots: 4}, LoadKnown: true})
+	require.NotEqual(t, first.Upstream.ID, granted(t, w.Request(start, need(model, start))))
 }
 
 // Guards against new requests that are sent into a group whose ranks wait for one that is gone.
@@ -213,10 +218,10 @@
 func TestUnreachableUpstreamIsLeftAlone(t *testing.T) {
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 4), upstream("y", shop, 4))
-	first := granted(t, w.Request(start, need(shop, start)))
-	w.Done(start, first, admitter.Unreachable{})
+	first := grant(t, w.Request(start, need(shop, start)))
+	w.Done(start, first.Upstream.ID, admitter.Unreachable{})
 	for range 4 {
-		require.NotEqual(t, first, granted(t, w.Request(start, need(shop, start))))
+		require.NotEqual(t, first.Upstream.ID, granted(t, w.Request(start, need(shop, start))))
 	}
 }
 
@@ -233,12 +238,30 @@
 func TestUrgentRequestsGoFirst(t *testing.T) {
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 1))
-	granted(t, w.Request(start, need(shop, start)))
+	busy := grant(t, w.Request(start, need(shop, start)))
 	usual := need(shop, start)
 	usual.Priority = 2
 	first := w.Request(start, usual)
 	urgent := w.Request(start, need(shop, start))
-	w.Done(start, "x", admitter.Cancelled{})
+	w.Done(start, busy.Upstream.ID, admitter.Cancelled{})
 	granted(t, urgent)
 	require.Nil(t, decided(first))
 }
+
+// Load: more requests wait than can be served in time. Guards against refusing a client that came back after a refusal
+// by an estimate: it does not come again, while others do.
+func TestReturnedRequestWaitsDespiteOverload(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", shop, 1))
+	first := grant(t, w.Request(start, need(shop, start)))
+	w.Done(start, first.Upstream.ID, admitter.Served{First: time.Second, Whole: 4 * time.Second})
+	grant(t, w.Request(start, need(shop, start)))
+	for decided(w.Request(start, need(shop, start))) == nil {
+	}
+	returned := need(shop, start)
+	returned.Returned = true
+	ticket := w.Request(start, returned)
+	require.Nil(t, decided(ticket))
+	w.Tick(returned.Until)
+	require.Equal(t, admitter.ReasonDeadline, refused(t, ticket).Reason)
+}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -89,6 +89,9 @@
 // judge refuses a request that cannot be served in time.
 func (a *Admitter) judge(now time.Time, s *service, t *Ticket) (Refused, bool) {
 	if !now.Before(t.need.Until) {
+		if s.closed {
+			return refuse(now, t, ReasonGroupClosed, maxRetryAfter), true
+		}
 		return refuse(now, t, ReasonDeadline, s.whole), true
 	}
 	slots, usable := 0, 0
@@ -101,10 +104,13 @@
 	if usable == 0 {
 		return refuse(now, t, ReasonNoUpstream, time.Second), true
 	}
+	if t.need.Returned {
+		return Refused{}, false
+	}
 	if s.closed {
 		elapsed := now.Sub(s.closedSince)
 		remaining := max(s.outage-elapsed, elapsed/2)
-		if !t.need.Returned && now.Add(remaining).After(t.need.Until) {
+		if now.Add(remaining).After(t.need.Until) {
 			// The end of the outage is a guess. A client that comes back too early is refused again and may give up, so it
 			// is sent away for as long as it honours.
 			return refuse(now, t, ReasonGroupClosed, maxRetryAfter), true
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -80,6 +80,7 @@
 		s.onStart = func() { timer.Stop() }
 	}
 	sent := time.Now()
+	s.first = 0
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -107,8 +108,11 @@
 func (f *Forwarder) failed(client context.Context, c *call, err error) result {
 	out := result{belief: admitter.Failed{}, err: err, detail: "connection broke"}
 	switch {
-	case client.Err() != nil || !time.Now().Before(c.deadline):
-		out.belief, out.detail = admitter.Cancelled{}, "client left or deadline passed"
+	case client.Err() != nil:
+		out.belief, out.detail = admitter.Cancelled{}, "client left"
+		out.unsent = errors.Is(err, requester.ErrNotSent)
+	case !time.Now().Before(c.deadline):
+		out.belief, out.detail = admitter.Cancelled{}, "deadline passed"
 		out.unsent = errors.Is(err, requester.ErrNotSent)
 	case errors.Is(err, requester.ErrNotSent):
 		out.belief, out.unsent, out.detail = admitter.Unreachable{}, true, "no connection"
@@ -238,7 +242,7 @@
 	return result{belief: admitter.Leaving{}, done: true}
 }
 
-func (f *Forwarder) logAttempt(c *call, g admitter.Granted, r result, sent time.Time) {
+func (f *Forwarder) logAttempt(c *call, s *stream, g admitter.Granted, r result, sent time.Time) {
 	event := logger.EventForwarded
 	if !r.done {
 		event = logger.EventForwardFailed
@@ -247,6 +251,9 @@
 		Str("upstreamDomain", string(g.Upstream.FailureDomain)).Int("load", g.Load).
 		Dur("waitedMs", g.Waited).Dur("tookMs", time.Since(sent)).Uint64("configVersion", uint64(c.version)).
 		Uint64("entryVersion", g.Upstream.Version).Int("send", c.sends+1)
+	if s.first > 0 {
+		line = line.Dur("firstByteMs", s.first)
+	}
 	if r.detail != "" {
 		line = line.Str("detail", r.detail)
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -206,8 +206,9 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(f.cfg.Names.Deadline), 64); err == nil && ms > 0 {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
+	c.returned = c.lastEvent != ""
 	if c.route.Timeout > 0 {
-		c.returned = left < time.Duration(returnedShare*float64(c.route.Timeout))
+		c.returned = c.returned || left < time.Duration(returnedShare*float64(c.route.Timeout))
 		left = min(left, c.route.Timeout)
 	}
 	c.deadline = c.arrived.Add(left - answerMargin)
@@ -283,7 +284,7 @@
 	f.waits.Observe(g.Waited)
 	result := f.send(ctx, r, c, s, g.Upstream)
 	f.cfg.Admitter.Done(time.Now(), g.Upstream.ID, result.belief)
-	f.logAttempt(c, g, result, sent)
+	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
 	switch {
 	case result.unsent:
@@ -301,6 +302,8 @@
 	case result.done:
 		f.cfg.Meter.Add(meter.GatewayServed)
 		return true
+	case errors.Is(ctx.Err(), context.Canceled):
+		f.finishLeft(c)
 	case ctx.Err() != nil:
 		f.finishFailed(ctx, s, c, "deadline")
 		return true
@@ -312,6 +315,7 @@
 	}
 	// A stream that broke is wanted at once, whatever the time that was kept for waiting.
 	if s.started {
+		c.returned = true
 		c.until = minTime(c.deadline, time.Now().Add(c.route.Patience()-patienceMargin))
 	}
 	c.lastEvent = s.lastEvent
@@ -320,19 +324,24 @@
 
 // finishRefused ends a request that gets no further upstream.
 func (f *Forwarder) finishRefused(ctx context.Context, w http.ResponseWriter, c *call, s *stream, d admitter.Refused) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		f.finishLeft(c)
+	}
 	if c.runs > 0 || s.started {
 		f.finishFailed(ctx, s, c, string(d.Reason))
 		return
 	}
-	if ctx.Err() != nil && time.Now().Before(c.deadline) {
-		f.cfg.Meter.Add(meter.GatewayCancelled)
-		f.logEnd(c, 0, "client left")
-		// A handler that returns without an answer sends an empty success.
-		panic(http.ErrAbortHandler)
-	}
 	f.refuse(w, c, string(d.Reason), d.RetryAfter)
 }
 
+// finishLeft ends a request whose client has closed its connection. It does not return: a handler that returned without
+// an answer would send an empty success.
+func (f *Forwarder) finishLeft(c *call) {
+	f.cfg.Meter.Add(meter.GatewayCancelled)
+	f.logEnd(c, 0, "client left")
+	panic(http.ErrAbortHandler)
+}
+
 // finishFailed ends a request that may have run: with the upstream's own answer, else without a promise.
 func (f *Forwarder) finishFailed(ctx context.Context, s *stream, c *call, reason string) {
 	f.cfg.Meter.Add(meter.GatewayFailed)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -39,9 +41,28 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
+	log      lockedBuffer
 	fleet    atomic.Pointer[cataloguer.Fleet]
 }
 
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
 func newStage(t *testing.T, scripts ...script) *stage {
 	t.Helper()
 	s := &stage{}
@@ -80,7 +101,7 @@
 		Admitter:  a,
 		Budgeter:  budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, 1),
 		Requester: requester.New(requester.Config{}),
-		Log:       logger.Discard(),
+		Log:       logger.New(logger.Config{Output: &s.log}),
 		Meter:     meter.New(),
 		Stopping:  make(chan struct{}),
 	})
@@ -346,3 +367,33 @@
 	close(release)
 	running.Wait()
 }
+
+// Guards against logs that call the departure of a client a deadline, which sends whoever reads them after the load.
+func TestDepartureOfAClientIsLogged(t *testing.T) {
+	t.Parallel()
+	begun := make(chan struct{})
+	s := newStage(t, func(c net.Conn, q *http.Request, _ string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Id"))
+		close(begun)
+		_, _ = c.Read(make([]byte, 1))
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+"/stream/x", strings.NewReader("x"))
+	require.NoError(t, err)
+	q.Host = "h"
+	q.Header.Set("Id", "1")
+	q.Header.Set("Key", "key")
+	go func() {
+		<-begun
+		cancel()
+	}()
+	answer, err := http.DefaultClient.Do(q)
+	if err == nil {
+		_, err = io.ReadAll(answer.Body)
+		require.NoError(t, answer.Body.Close())
+	}
+	require.ErrorIs(t, err, context.Canceled)
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), `"reason":"client left"`) }, 5*time.Second, time.Millisecond)
+	require.Contains(t, s.log.String(), `"detail":"client left"`)
+	require.NotContains(t, s.log.String(), "deadline")
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -23,6 +23,8 @@
 	started   bool
 	lastEvent string
 	onStart   func()
+	// first is the time from the latest send to the first byte of its answer, or 0.
+	first time.Duration
 }
 
 // start sends the head of the first upstream.
@@ -119,13 +121,12 @@
 func (f *Forwarder) receiveStream(client context.Context, c *call, s *stream, got *requester.Answer, sent time.Time) result {
 	var pending []byte
 	buffer := make([]byte, 4<<10)
-	first := time.Duration(0)
 	for {
 		n, err := got.Body.Read(buffer)
 		if n > 0 {
 			f.cfg.Admitter.Progressed(time.Now(), c.service)
-			if first == 0 {
-				first = time.Since(sent)
+			if s.first == 0 {
+				s.first = time.Since(sent)
 			}
 			pending = append(pending, buffer[:n]...)
 			if eventEnd(pending) >= 0 {
@@ -141,7 +142,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			s.start(got.Header, got.Status)
 			f.logEnd(c, got.Status, "complete")
-			return result{belief: f.served(got, sent, first), done: true}
+			return result{belief: f.served(got, sent, s.first), done: true}
 		case errors.Is(err, io.EOF):
 			return f.failed(client, c, errEvent)
 		case err != nil:
