Bound the requests that wait for their first byte at a group

Cause: when a group opens, all gateways send their queues at once.

Change: a gateway has a window of requests that wait for their first byte. It starts at a fair share (two for each rank) when the group opens, grows by half a request for each first byte within 200 ms and shrinks by a fifth when one takes 400 ms. The upstream's answer is not touched; waiting requests are refused in time with a Retry-After instead of being sent for nothing.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -63,6 +63,7 @@
 	closedSince time.Time
 	lastProbe   time.Time
 	outage      time.Duration
+	window      startWindow
 }
 
 // Config sets up an Admitter.
@@ -213,7 +214,7 @@
 	select {
 	case d := <-t.result:
 		if g, granted := d.(Granted); granted {
-			a.Done(now, g.Upstream.ID, Cancelled{})
+			a.Done(now, g, Cancelled{})
 		}
 	default:
 	}
@@ -226,16 +227,31 @@
 	a.dispatch(now)
 }
 
+// Started reports the first byte of the answer to a granted request.
+func (a *Admitter) Started(now time.Time, g Granted) {
+	a.mu.Lock()
+	defer a.unlock()
+	if g.start.pending {
+		g.start.pending = false
+		a.service(g.Upstream.Service).window.started(now, now.Sub(g.start.granted))
+	}
+	a.dispatch(now)
+}
+
 // Done reports the end of a granted request.
-func (a *Admitter) Done(now time.Time, id identifier.Upstream, result Outcome) {
+func (a *Admitter) Done(now time.Time, g Granted, result Outcome) {
 	a.mu.Lock()
 	defer a.unlock()
-	u, found := a.upstreams[id]
+	s := a.service(g.Upstream.Service)
+	if g.start.pending {
+		g.start.pending = false
+		s.window.starting--
+	}
+	u, found := a.upstreams[g.Upstream.ID]
 	if !found {
 		return
 	}
 	u.running = max(u.running-1, 0)
-	s := a.service(u.Service)
 	switch r := result.(type) {
 	case Served:
 		a.open(now, s, CauseProgress)
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -141,10 +141,10 @@
 	now := start.Add(300 * time.Millisecond)
 	w.Progressed(now, model)
 	fresh := w.Request(now, need(model, now))
-	w.Done(now, first.Upstream.ID, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	w.Done(now, first, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
 	second := grant(t, fresh)
 	require.Nil(t, decided(late))
-	w.Done(now, second.Upstream.ID, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
+	w.Done(now, second, admitter.Served{First: time.Millisecond, Whole: time.Millisecond})
 	granted(t, late)
 }
 
@@ -154,7 +154,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 1))
 	first := grant(t, w.Request(start, need(shop, start)))
-	w.Done(start, first.Upstream.ID, admitter.Served{First: time.Second, Whole: 4 * time.Second})
+	w.Done(start, first, admitter.Served{First: time.Second, Whole: 4 * time.Second})
 	granted(t, w.Request(start, need(shop, start)))
 	waiting := 0
 	for range 10 {
@@ -174,7 +174,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
 	first := grant(t, w.Request(start, need(model, start)))
-	w.Done(start, first.Upstream.ID, admitter.Rejected{Load: admitter.Load{Slots: 4}, LoadKnown: true})
+	w.Done(start, first, admitter.Rejected{Load: admitter.Load{Slots: 4}, LoadKnown: true})
 	r := refused(t, w.Request(start, need(model, start)))
 	require.Equal(t, admitter.ReasonGroupClosed, r.Reason)
 	require.Equal(t, 8*time.Second/3, r.RetryAfter)
@@ -192,7 +192,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", model, 4), upstream("y", model, 4))
 	first := grant(t, w.Request(start, need(model, start)))
-	w.Done(start, first.Upstream.ID, admitter.Rejected{Load: admitter.Load{Running: 4, Waiting: 2, Slots: 4}, LoadKnown: true})
+	w.Done(start, first, admitter.Rejected{Load: admitter.Load{Running: 4, Waiting: 2, Slots: 4}, LoadKnown: true})
 	require.NotEqual(t, first.Upstream.ID, granted(t, w.Request(start, need(model, start))))
 }
 
@@ -201,7 +201,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", model, 8))
 	for range 3 {
-		granted(t, w.Request(start, need(model, start)))
+		w.Started(start, grant(t, w.Request(start, need(model, start))))
 	}
 	w.Progressed(start, model)
 	now := start.Add(700 * time.Millisecond)
@@ -219,7 +219,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 4), upstream("y", shop, 4))
 	first := grant(t, w.Request(start, need(shop, start)))
-	w.Done(start, first.Upstream.ID, admitter.Unreachable{})
+	w.Done(start, first, admitter.Unreachable{})
 	for range 4 {
 		require.NotEqual(t, first.Upstream.ID, granted(t, w.Request(start, need(shop, start))))
 	}
@@ -243,7 +243,7 @@
 	usual.Priority = 2
 	first := w.Request(start, usual)
 	urgent := w.Request(start, need(shop, start))
-	w.Done(start, busy.Upstream.ID, admitter.Cancelled{})
+	w.Done(start, busy, admitter.Cancelled{})
 	granted(t, urgent)
 	require.Nil(t, decided(first))
 }
@@ -254,7 +254,7 @@
 	t.Parallel()
 	w := newWorld(upstream("x", shop, 1))
 	first := grant(t, w.Request(start, need(shop, start)))
-	w.Done(start, first.Upstream.ID, admitter.Served{First: time.Second, Whole: 4 * time.Second})
+	w.Done(start, first, admitter.Served{First: time.Second, Whole: 4 * time.Second})
 	grant(t, w.Request(start, need(shop, start)))
 	for decided(w.Request(start, need(shop, start))) == nil {
 	}
@@ -265,3 +265,64 @@
 	w.Tick(returned.Until)
 	require.Equal(t, admitter.ReasonDeadline, refused(t, ticket).Reason)
 }
+
+// Load: a group opens while every gateway has a queue. Guards against ranks that read the prompts of all of them at once,
+// so that clients leave before their first byte, and against a gateway with many clients that stays at its share.
+func TestStartsAreBoundedWhenAGroupOpens(t *testing.T) {
+	t.Parallel()
+	w := newWorld(upstream("x", model, 100), upstream("y", model, 100))
+	w.SetGateways(2)
+	w.GroupBroken(start, model)
+	now := start.Add(time.Second)
+	request := func() *admitter.Ticket {
+		n := need(model, now)
+		n.Returned = true
+		return w.Request(now, n)
+	}
+	var waiting []*admitter.Ticket
+	for range 40 {
+		waiting = append(waiting, request())
+	}
+	begin := func() []admitter.Granted {
+		var out []admitter.Granted
+		kept := waiting[:0]
+		for _, ticket := range waiting {
+			if g, ok := decided(ticket).(admitter.Granted); ok {
+				out = append(out, g)
+				continue
+			}
+			kept = append(kept, ticket)
+		}
+		waiting = kept
+		return out
+	}
+	opened := begin()
+	w.GroupOpened(now, model)
+	opened = append(opened, begin()...)
+	require.Len(t, opened, 2)
+
+	round := func(pause time.Duration) {
+		for len(waiting) < 100 {
+			waiting = append(waiting, request())
+		}
+		now = now.Add(pause)
+		w.Progressed(now, model)
+		for _, g := range opened {
+			w.Started(now, g)
+		}
+		opened = begin()
+	}
+	// Each first byte that comes quickly lets more requests start.
+	for range 4 {
+		round(100 * time.Millisecond)
+	}
+	quick := len(opened)
+	require.Greater(t, quick, 4)
+	require.Less(t, quick, 20)
+	// Slow ones close the window again.
+	for range 4 {
+		round(500 * time.Millisecond)
+	}
+	require.Less(t, len(opened), quick)
+	require.NotEmpty(t, opened)
+}
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -22,12 +22,20 @@
 // Decision is the result for one request.
 type Decision interface{ decision() }
 
-// Granted sends the request to an upstream. The caller reports the end of it with Done.
+// Granted sends the request to an upstream. The caller reports the first byte of a stream with Started and the end with
+// Done.
 type Granted struct {
 	Upstream cataloguer.Upstream
 	Waited   time.Duration
 	// Load is the number of requests that were known to run on the upstream, over all gateways.
-	Load int
+	Load  int
+	start *start
+}
+
+// start tells whether a granted request still waits for the first byte of its answer, and since when.
+type start struct {
+	pending bool
+	granted time.Time
 }
 
 // Refused ends the request; it has not run here.
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -96,6 +96,7 @@
 		return
 	}
 	s.closed = false
+	s.window.reset()
 	lasted := now.Sub(s.closedSince)
 	s.outage += time.Duration(outageSmoothing * float64(lasted-s.outage))
 	change := GroupChange{Service: s.Name, Cause: cause, Lasted: lasted}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -71,6 +71,9 @@
 		}
 		s.lastProbe = now
 	}
+	if s.Engine != nil && !s.window.takes(a.startShare(s)) {
+		return false
+	}
 	best := a.choose(now, s, t.need)
 	if best == nil {
 		return false
@@ -81,8 +84,9 @@
 		s.progressed = now
 	}
 	best.running++
+	s.window.starting++
 	best.cold.next = now.Add(a.coldSpacing(s))
-	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load})
+	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, start: &start{pending: true, granted: now}})
 	return true
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -282,8 +282,9 @@
 func (f *Forwarder) attempt(ctx context.Context, r *http.Request, c *call, s *stream, g admitter.Granted) bool {
 	sent := time.Now()
 	f.waits.Observe(g.Waited)
+	s.granted = g
 	result := f.send(ctx, r, c, s, g.Upstream)
-	f.cfg.Admitter.Done(time.Now(), g.Upstream.ID, result.belief)
+	f.cfg.Admitter.Done(time.Now(), g, result.belief)
 	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
 	switch {
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/requester"
+	"currantledge.example/currantledge/internal/request/admitter"
 )
 
 // maxEvent bounds the memory of one event.
@@ -23,6 +24,8 @@
 	started   bool
 	lastEvent string
 	onStart   func()
+	// granted is the latest send.
+	granted admitter.Granted
 	// first is the time from the latest send to the first byte of its answer, or 0.
 	first time.Duration
 }
@@ -127,6 +130,7 @@
 			f.cfg.Admitter.Progressed(time.Now(), c.service)
 			if s.first == 0 {
 				s.first = time.Since(sent)
+				f.cfg.Admitter.Started(time.Now(), s.granted)
 			}
 			pending = append(pending, buffer[:n]...)
 			if eventEnd(pending) >= 0 {
