Let the map leader go on while the platform answers nobody

Cause: the lease of the map leader ends 4 s after its last renewal, also while the store is away for everyone and nobody can take it. On the silent store the leader even gave the lease up, as it took peers that had been answered before the outage for served ones.

Change: gateways tell how long ago the platform answered them. A leader whose renewals stay unanswered for 1 s prolongs its lease as long as it hears most peers and none was answered since; it gives the lease up only if one was. The lease still lapses by itself when a suspended VM wakes up.

Tests: the lease outlives 20 s without the store, and lapses after a suspension; a leader stops if others are served.

--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +24,7 @@
 	Groups        map[string]bool   `cbor:"groups,omitempty"`
 	Opened        map[string]uint64 `cbor:"opened,omitempty"`
 	StoreLost     bool              `cbor:"storeLost,omitempty"`
+	StoreAgeMs    uint64            `cbor:"storeAgeMs,omitempty"`
 	Resigned      uint64            `cbor:"resigned,omitempty"`
 	Peers         []string          `cbor:"peers,omitempty"`
 }
@@ -41,6 +44,7 @@
 		Groups:        convert[string](s.Groups),
 		Opened:        convert[string](s.Opened),
 		StoreLost:     s.StoreLost,
+		StoreAgeMs:    uint64(s.StoreAge.Milliseconds()),
 		Resigned:      s.Resigned,
 		Peers:         s.Peers,
 	}
@@ -67,6 +71,7 @@
 		Groups:        convert[identifier.Service](w.Groups),
 		Opened:        convert[identifier.Service](w.Opened),
 		StoreLost:     w.StoreLost,
+		StoreAge:      time.Duration(w.StoreAgeMs) * time.Millisecond,
 		Resigned:      w.Resigned,
 		Peers:         w.Peers,
 	}, nil
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -52,6 +52,8 @@
 	Opened map[identifier.Service]uint64
 	// StoreLost is set while the platform does not answer the gateway.
 	StoreLost bool
+	// StoreAge is the time since the platform last answered the gateway, or 0 if it never did.
+	StoreAge time.Duration
 	// Resigned is the version of the lease that the gateway has given up without being able to write so, or 0.
 	Resigned uint64
 	// Peers are datagram addresses of other gateways.
@@ -65,6 +67,14 @@
 	Silent bool
 }
 
+// StoreAnswered returns when the platform last answered the peer; zero if it never did.
+func (p Peer) StoreAnswered() time.Time {
+	if p.StoreAge == 0 {
+		return time.Time{}
+	}
+	return p.Heard.Add(-p.StoreAge)
+}
+
 // Config sets up a Gossiper.
 type Config struct {
 	Node identifier.Node
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -168,6 +168,7 @@
 		Fleet:        func() cataloguer.Fleet { return *g.fleet.Load() },
 		LeaderHeard:  g.leaderHeard,
 		OthersServed: g.othersServed,
+		NobodyServed: g.nobodyServed,
 		GroupState:   g.groups.seen,
 		Log:          g.log,
 		Meter:        g.meter,
@@ -205,6 +206,7 @@
 		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
 	}
 	s.StoreLost = g.operators.Lost()
+	s.StoreAge = g.storeAge()
 	s.Opened = g.groups.openings()
 	s.Resigned = g.lease.Resigned()
 	if s.Leading = g.leader.Leading(); s.Leading {
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -113,12 +113,41 @@
 	return false
 }
 
-// othersServed tells whether the platform answers a peer.
-func (g *gateway) othersServed() bool {
+// storeAge returns the time since the platform last answered this gateway, or 0 if it never did.
+func (g *gateway) storeAge() time.Duration {
+	last := g.operators.Answered()
+	if at := g.upstreams.Answered(); at.After(last) {
+		last = at
+	}
+	if last.IsZero() {
+		return 0
+	}
+	return max(time.Since(last), time.Millisecond)
+}
+
+// othersServed tells whether the platform has answered a peer since a time.
+func (g *gateway) othersServed(since time.Time) bool {
 	for _, p := range g.gossiper.Peers() {
-		if !p.Silent && !p.StoreLost {
+		if !p.Silent && p.StoreAnswered().After(since) {
 			return true
 		}
 	}
 	return false
 }
+
+// nobodyServed tells whether most of the known peers were heard lately and the platform has answered none of them since a
+// time.
+func (g *gateway) nobodyServed(since time.Time) bool {
+	heard := 0
+	peers := g.gossiper.Peers()
+	for _, p := range peers {
+		switch {
+		case p.Silent:
+		case p.StoreAnswered().After(since):
+			return false
+		default:
+			heard++
+		}
+	}
+	return 2*heard >= len(peers)
+}
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -58,6 +58,7 @@
 	// full is set if the next call has to read the whole table.
 	full       bool
 	failing    atomic.Bool
+	answeredAt atomic.Pointer[time.Time]
 	lastGood   time.Time
 	failedAt   time.Time
 	failedCall int
@@ -100,6 +101,14 @@
 	return f.failing.Load()
 }
 
+// Answered returns when the platform last answered this process; zero if it never did.
+func (f *Follower) Answered() time.Time {
+	if at := f.answeredAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if f.full {
 		rows, version, err := f.cfg.Store.Read(ctx, f.cfg.Table)
@@ -125,6 +134,7 @@
 	now := time.Now()
 	away := now.Sub(f.lastGood)
 	f.lastGood = now
+	f.answeredAt.Store(&now)
 	f.failedCall = 0
 	if !f.failing.CompareAndSwap(true, false) {
 		return
--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -108,6 +108,16 @@
 	return l.write(ctx, version, false)
 }
 
+// Extend prolongs a lease that is still held without the platform. The caller has to know that the platform answers
+// nobody who could take the lease: every claim is a write to the row.
+func (l *Lease) Extend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := l.cfg.Now(); l.version != 0 && now-l.renewed < term {
+		l.renewed = now
+	}
+}
+
 // Resign gives the lease up if it could not be renewed for a while, as when the platform turns this VM away: peers that
 // learn of the version take over without waiting for the term to pass. It tells whether the lease was given up.
 func (l *Lease) Resign() bool {
--- a/internal/version/mapleader/lease_test.go
+++ b/internal/version/mapleader/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,12 @@
 
 var errLost = errors.New("the answer is lost")
 
+func (s *store) turnAway(node identifier.Node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail[node] = true
+}
+
 // view is the store as one node sees it.
 type view struct {
 	*store
@@ -62,17 +69,21 @@
 type contest struct {
 	store    *store
 	now      time.Duration
+	clock    func() time.Duration
 	resigned uint64
 	dead     bool
-	a, b     *mapleader.Lease
+	// nobodyServed is what the leader believes of the platform.
+	nobodyServed bool
+	a, b         *mapleader.Lease
 }
 
 func newContest() *contest {
 	c := &contest{store: &store{fail: map[identifier.Node]bool{}}}
+	c.clock = func() time.Duration { return c.now }
 	lease := func(node identifier.Node) *mapleader.Lease {
 		return mapleader.NewLease(mapleader.LeaseConfig{
 			Store: view{c.store, node}, Node: node, Incarnation: 1,
-			Now:      func() time.Duration { return c.now },
+			Now:      func() time.Duration { return c.clock() },
 			Dead:     func(identifier.Node, identifier.Incarnation) bool { return c.dead },
 			Resigned: func(version uint64) bool { return c.resigned != 0 && c.resigned == version },
 		})
@@ -178,3 +189,47 @@
 	require.NoError(t, c.a.Release(t.Context()))
 	require.True(t, claim(t, c.b))
 }
+
+// Guards against groups without a leader while the platform is away for everyone: demand shifts all the same. Guards also
+// against an extension that a suspended VM gives itself after its lease has lapsed.
+func TestLeaseIsExtendedWhileNobodyCanTakeIt(t *testing.T) {
+	t.Parallel()
+	c := newContest()
+	require.True(t, claim(t, c.a))
+	c.store.fail["a"], c.store.fail["b"] = true, true
+	for range 20 {
+		c.now += time.Second
+		c.a.Extend()
+		require.True(t, c.a.Held())
+		_, err := c.b.Claim(t.Context())
+		require.Error(t, err)
+	}
+	c.now += 5 * time.Second
+	c.a.Extend()
+	require.False(t, c.a.Held())
+}
+
+// Guards against a leader that stops at the end of its term while the platform answers nobody, and against one that goes
+// on although another gateway may be served.
+func TestLeaderGoesOnWhileThePlatformIsAway(t *testing.T) {
+	t.Parallel()
+	for _, nobody := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			begun := time.Now()
+			c := newContest()
+			c.clock = func() time.Duration { return time.Since(begun) }
+			c.nobodyServed = nobody
+			ctx, cancel := context.WithCancel(t.Context())
+			l := newLeader(c, &pair{held: map[string]bool{}, armed: map[string]bool{}})
+			var running sync.WaitGroup
+			running.Go(func() { _ = l.RunLease(ctx) })
+			time.Sleep(time.Second)
+			require.True(t, l.Leading())
+			c.store.turnAway("a")
+			time.Sleep(8 * time.Second)
+			require.Equal(t, nobody, l.Leading())
+			cancel()
+			running.Wait()
+		})
+	}
+}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -35,6 +35,9 @@
 	callTimeout = 300 * time.Millisecond
 	// leaseInterval is how often the lease is looked after.
 	leaseInterval = 250 * time.Millisecond
+	// silenceShown is how long the platform has to answer nobody before that counts as an outage for all: gateways that
+	// follow it get an answer every 1.5 s at the latest.
+	silenceShown = time.Second
 	// minSkewGain is the gain in skew for which a switch is worth its orders and the slower passes while ranks load.
 	minSkewGain = 0.05
 	// sampledRanks is the number of ranks whose counts are read. Requests are spread evenly over the ranks, so a part of
@@ -54,8 +57,10 @@
 	Fleet   func() cataloguer.Fleet
 	// LeaderHeard tells whether another gateway leads and was heard lately.
 	LeaderHeard func() bool
-	// OthersServed tells whether the platform answers other gateways.
-	OthersServed func() bool
+	// OthersServed tells whether the platform has answered another gateway since a time.
+	OthersServed func(since time.Time) bool
+	// NobodyServed tells whether this gateway hears most others and the platform has answered none of them since a time.
+	NobodyServed func(since time.Time) bool
 	// GroupState is called when the leader sees that the group of a service works or not.
 	GroupState func(s identifier.Service, open bool)
 	Log        *logger.Logger
@@ -70,6 +75,8 @@
 	version uint64
 	// demand holds the last estimator of each service.
 	demand map[identifier.Service]*estimator
+	// unanswered is when the first renewal began that the platform did not answer; zero if it answered the last one.
+	unanswered time.Time
 	// working is held while orders are given, so that the lease is not resigned in between.
 	working sync.Mutex
 	// opened holds when the group of a service was last seen to work after it had been closed, and wake ends a pause then.
@@ -169,10 +176,23 @@
 	}
 }
 
-// renew prolongs the lease, or gives it up between two switches if the platform does not answer this VM.
+// renew prolongs the lease, also while the platform answers nobody, or gives it up between two switches if the platform
+// does not answer this VM alone.
 func (l *Leader) renew(ctx context.Context) (bool, error) {
+	begun := time.Now()
 	held, err := l.cfg.Lease.Renew(ctx)
-	if !held || err == nil || !l.cfg.OthersServed() {
+	if !held || err == nil {
+		l.unanswered = time.Time{}
+		return held, err
+	}
+	if l.unanswered.IsZero() {
+		l.unanswered = begun
+	}
+	if time.Since(l.unanswered) >= silenceShown && l.cfg.NobodyServed(l.unanswered) {
+		l.cfg.Lease.Extend()
+		return held, err
+	}
+	if !l.cfg.OthersServed(l.unanswered) {
 		return held, err
 	}
 	if !l.working.TryLock() {
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -98,8 +98,9 @@
 	}
 	return mapleader.New(mapleader.Config{
 		Lease: c.a, Engines: p, Fleet: func() cataloguer.Fleet { return fleet },
-		LeaderHeard: func() bool { return false }, OthersServed: func() bool { return true },
-		GroupState: func(identifier.Service, bool) {}, Log: logger.Discard(), Meter: meter.New(),
+		LeaderHeard: func() bool { return false }, OthersServed: func(time.Time) bool { return !c.nobodyServed },
+		NobodyServed: func(time.Time) bool { return c.nobodyServed },
+		GroupState:   func(identifier.Service, bool) {}, Log: logger.Discard(), Meter: meter.New(),
 	})
 }
 
