Log a seed that cannot be read

Now event 732 names it; the gateway starts with the others. A test without the change finds no such line.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -144,7 +144,7 @@
 	g.gossiper, err = gossiper.New(gossiper.Config{
 		Node:        settings.Node,
 		Listen:      net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)),
-		Seeds:       seedHosts(settings),
+		Seeds:       g.seedHosts(settings),
 		Tell:        g.tell,
 		Heard:       g.peerHeard,
 		PeerChanged: g.logPeer,
@@ -177,13 +177,17 @@
 	return g, nil
 }
 
-// seedHosts returns the IP numbers of the seeds; the ports are those of control listeners.
-func seedHosts(settings platform.Settings) []string {
+// seedHosts returns the IP numbers of the seeds; the ports are those of control listeners. A seed that cannot be read is
+// logged and left out: the other seeds and the rows of the platform name the same peers.
+func (g *gateway) seedHosts(settings platform.Settings) []string {
 	var hosts []string
 	for _, s := range settings.Seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil {
-			hosts = append(hosts, host)
+		host, _, err := net.SplitHostPort(s)
+		if err != nil {
+			g.log.Event(logger.EventSeedUnread).Str("seed", s).AnErr("error", err).Send()
+			continue
 		}
+		hosts = append(hosts, host)
 	}
 	return hosts
 }
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -296,3 +296,13 @@
 	defer d.mu.Unlock()
 	d.closed = closed
 }
+
+// Guards against a seed that is left out without a word, and against one that keeps the gateway from starting.
+func TestSeedThatCannotBeReadIsLogged(t *testing.T) {
+	d := newDeployment(t)
+	d.register()
+	d.configure(1, "/a/")
+	g := d.start(t, "127.0.0.1", 17343, "127.0.0.9", d.address)
+	require.Eventually(t, func() bool { return g.isReady(t) }, wait, 10*time.Millisecond)
+	require.Contains(t, g.log.String(), `"seed":"127.0.0.9"`)
+}
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -180,7 +180,7 @@
 		g.log.Event(logger.EventSettingsRead).Bool("signalled", signalled).AnErr("error", err).Send()
 		return
 	}
-	for _, host := range seedHosts(settings) {
+	for _, host := range g.seedHosts(settings) {
 		g.gossiper.Add(host)
 	}
 	g.log.Event(logger.EventSettingsRead).Bool("signalled", signalled).Int("seeds", len(settings.Seeds)).Send()
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -66,6 +66,7 @@
 	EventHoldReleased   Event = 723
 	EventLinesDropped   Event = 730
 	EventSettingsRead   Event = 731
+	EventSeedUnread     Event = 732
 )
 
 type entry struct {
@@ -127,6 +128,7 @@
 	EventMapAbandoned:   {zerolog.WarnLevel, "expert map switch abandoned"},
 	EventHoldReleased:   {zerolog.WarnLevel, "group held by an earlier switch released"},
 	EventSettingsRead:   {zerolog.InfoLevel, "settings read again"},
+	EventSeedUnread:     {zerolog.WarnLevel, "seed of the settings could not be read"},
 	EventLinesDropped:   {zerolog.WarnLevel, "log lines dropped"},
 }
 
