--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -323,8 +323,8 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			// This judges the waiting requests again as well.
 			g.countPeers(now)
-			g.admitter.Tick(now)
 			g.replicator.Release(now)
 			g.pull(ctx, now)
 		}
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -60,6 +60,8 @@
 	Until time.Time
 	// Deadline is when its client stops waiting.
 	Deadline time.Time
+	// Stream is set if the answer comes in events. Only then is its first byte reported, ahead of its end.
+	Stream bool
 	// Returned is set if the client has come back after a refusal: it may not come again, so it waits as long as it can.
 	Returned bool
 	// Exclude holds upstreams that have had the request.
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -71,7 +71,8 @@
 		}
 		s.lastProbe = now
 	}
-	if s.Engine != nil && (!s.window.takes(a.startShare(s)) || !s.allotment.takes(a.running(s), t.lateness(now) > 0)) {
+	starts := s.Engine != nil && t.need.Stream
+	if starts && !s.window.takes(a.startShare(s)) || !s.allotment.takes(a.running(s), t.lateness(now) > 0) {
 		return false
 	}
 	best := a.choose(now, s, t.need)
@@ -84,9 +85,11 @@
 		s.progressed = now
 	}
 	best.running++
-	s.window.starting++
+	if starts {
+		s.window.starting++
+	}
 	best.cold.next = now.Add(a.coldSpacing(s))
-	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, start: &start{pending: true, granted: now}})
+	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, start: &start{pending: starts, granted: now}})
 	return true
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -263,6 +263,7 @@
 		OnTime:   c.onTime,
 		Until:    c.until,
 		Deadline: c.deadline,
+		Stream:   c.route.Stream,
 		Returned: c.returned,
 		Exclude:  c.tried,
 	})
--- a/internal/version/mapleader/estimator.go
+++ b/internal/version/mapleader/estimator.go
@@ -53,7 +53,7 @@
 		}
 		e.last[r] = c.Counts
 	}
-	if slices.Max(sample) == 0 {
+	if len(sample) == 0 || slices.Max(sample) == 0 {
 		// Nothing was chosen, or these are the first counts since the group formed.
 		return
 	}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -87,8 +87,8 @@
 	openedMu sync.Mutex
 	opened   map[identifier.Service]time.Time
 	wake     chan struct{}
-	// replaced holds the upstreams whose address another one has.
-	replaced map[identifier.Upstream]bool
+	// replaced holds the upstreams whose address another one has, with the version of their entry.
+	replaced map[identifier.Upstream]uint64
 	// asked counts the ranks that were asked whether their group works; each time another one is asked.
 	asked int
 }
@@ -99,7 +99,7 @@
 		cfg:      cfg,
 		demand:   map[identifier.Service]*estimator{},
 		opened:   map[identifier.Service]time.Time{},
-		replaced: map[identifier.Upstream]bool{},
+		replaced: map[identifier.Upstream]uint64{},
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -276,9 +276,15 @@
 		}
 	}
 	if len(known) == 0 {
-		found, open := l.readGroups(ctx, s)
-		l.cfg.GroupState(s.Name, open)
-		if !open {
+		found, closed := l.readGroups(ctx, s)
+		switch {
+		case len(found) > 0:
+			l.cfg.GroupState(s.Name, true)
+		case closed:
+			l.cfg.GroupState(s.Name, false)
+			return rosterPause
+		default:
+			// A rank that does not answer, or that ends an earlier switch, says nothing about the group.
 			return rosterPause
 		}
 		for _, k := range found {
@@ -296,7 +302,7 @@
 			delete(keepers, k.group.Name)
 			var gone *mapswitcher.ReplacedError
 			if errors.As(err, &gone) {
-				l.replaced[gone.Upstream] = true
+				l.leaveOut(gone.Upstream)
 				next = 0
 			}
 		}
@@ -311,13 +317,22 @@
 	slices.SortStableFunc(upstreams, func(a, b cataloguer.Upstream) int { return cmp.Compare(a.Version, b.Version) })
 	var out []mapswitcher.Member
 	for _, u := range upstreams {
-		if u.Service == s && !l.replaced[u.ID] {
+		if u.Service == s && l.replaced[u.ID] != u.Version {
 			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address})
 		}
 	}
 	return out
 }
 
+// leaveOut keeps an upstream out of the groups until its entry changes.
+func (l *Leader) leaveOut(id identifier.Upstream) {
+	for _, u := range l.cfg.Fleet().Upstreams {
+		if u.ID == id {
+			l.replaced[id] = u.Version
+		}
+	}
+}
+
 // gather calls a function for all members at the same time; the results of failed calls are left zero.
 func gather[T any](ctx context.Context, members []mapswitcher.Member, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
 	out := make([]T, len(members))
@@ -334,7 +349,8 @@
 	return out, errs
 }
 
-// readGroups reads which upstreams form the groups of a service, and tells whether all groups are complete and open.
+// readGroups reads which upstreams form the groups of a service, and tells whether a rank reports that its group is
+// closed.
 func (l *Leader) readGroups(ctx context.Context, s cataloguer.Service) ([]*keeper, bool) {
 	members := l.members(s.Name)
 	if len(members) == 0 {
@@ -346,16 +362,18 @@
 		l.asked++
 		one := l.asked % len(members)
 		first, errs := gather(ctx, members[one:one+1], l.cfg.Engines.Report)
-		if errs[0] != nil || !first[0].Open {
-			return nil, false
+		if errs[0] == nil && !first[0].Open {
+			return nil, true
 		}
 	}
 	reports, errs := gather(ctx, members, l.cfg.Engines.Report)
 	groups := map[identifier.ModelGroup]*roster{}
+	closed := false
 	for i, r := range reports {
 		if errs[i] != nil || r.Group == "" {
 			continue
 		}
+		closed = closed || !r.Open && !justOpened
 		if groups[r.Group] == nil {
 			groups[r.Group] = &roster{}
 		}
@@ -373,7 +391,7 @@
 		}
 		out = append(out, k)
 	}
-	return out, len(out) > 0
+	return out, closed
 }
 
 // roster gathers the reports of a group.
