Ask ranks again that fail a part of their calls

Cause: the leader reads a group only if every rank answers one call within one round. Nothing in the log said so, as an incomplete group is no error.

Change: a call that fails is made again, up to six times of 150 ms each.

Ruled out: a hold left behind by the dead leader (two ErrMoving lines at 3.6 and 3.8 s only), entries of ended ranks (75 entries for 75 upstreams).

Test: two in three reports fail; without the change no map is switched in 2 s.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -32,8 +32,13 @@
 	// reportLag is how far the reports of ranks may be behind. For so long, requests that were served tell more than
 	// reports of a closed group.
 	reportLag = 500 * time.Millisecond
-	// callTimeout bounds one call of a rank.
-	callTimeout = 300 * time.Millisecond
+	// callTimeout bounds one call of a rank; ranks answer within some ms.
+	callTimeout = 150 * time.Millisecond
+	// callTries bounds the calls to a rank that does not answer, or answers with a failure: ranks may fail in part for
+	// seconds, and a group is read only if all of its ranks answer.
+	callTries = 6
+	// releaseTimeout bounds the write that gives the lease up.
+	releaseTimeout = 300 * time.Millisecond
 	// leaseInterval is how often the lease is looked after.
 	leaseInterval = 250 * time.Millisecond
 	// silenceShown is how long the platform has to answer nobody before that counts as an outage for all: gateways that
@@ -149,7 +154,7 @@
 			l.working.Lock()
 			defer l.working.Unlock()
 			l.leading.Store(false)
-			limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 			defer cancel()
 			if err := l.cfg.Lease.Release(limited); err != nil {
 				l.cfg.Meter.Add(meter.StoreFailures)
@@ -333,16 +338,22 @@
 	}
 }
 
-// gather calls a function for all members at the same time; the results of failed calls are left zero.
+// gather calls a function for all members at the same time, again for those whose call fails. The results of members
+// whose calls all fail are left zero.
 func gather[T any](ctx context.Context, members []mapswitcher.Member, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
 	out := make([]T, len(members))
 	errs := make([]error, len(members))
 	var group sync.WaitGroup
 	for i, m := range members {
 		group.Go(func() {
-			limited, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			out[i], errs[i] = call(limited, m)
+			for range callTries {
+				limited, cancel := context.WithTimeout(ctx, callTimeout)
+				out[i], errs[i] = call(limited, m)
+				cancel()
+				if errs[i] == nil {
+					return
+				}
+			}
 		})
 	}
 	group.Wait()
@@ -361,8 +372,10 @@
 		// One closed rank shows that its group is closed, at the price of one call.
 		l.asked++
 		one := l.asked % len(members)
-		first, errs := gather(ctx, members[one:one+1], l.cfg.Engines.Report)
-		if errs[0] == nil && !first[0].Open {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		first, err := l.cfg.Engines.Report(limited, members[one])
+		cancel()
+		if err == nil && !first.Open {
 			return nil, true
 		}
 	}
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -31,6 +31,9 @@
 	closed atomic.Bool
 	// silent makes a rank answer nothing.
 	silent atomic.Bool
+	// faulty makes two in three reports fail.
+	faulty atomic.Bool
+	asked  int
 	orders int
 	// toldClosed is set once the leader has said that the group does not work.
 	toldClosed bool
@@ -39,6 +42,13 @@
 // countsRead is longer than the leader takes to read the counts of a group twice and to switch its map.
 const countsRead = 400 * time.Millisecond
 
+func (p *pair) fails() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	return p.asked%3 != 0
+}
+
 func (p *pair) told(open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,7 +70,7 @@
 }
 
 func (p *pair) Report(_ context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
-	if p.silent.Load() && m.Address == "1" {
+	if p.silent.Load() && m.Address == "1" || p.faulty.Load() && p.fails() {
 		return mapswitcher.Report{}, errSilent
 	}
 	rank := identifier.Rank(0)
@@ -242,3 +252,21 @@
 		require.False(t, p.toldClosed)
 	})
 }
+
+// Guards against a group without a leader's care for as long as some of its ranks fail a part of their calls.
+func TestFaultyRanksAreAskedAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
+		p.faulty.Store(true)
+		l := newLeader(newContest(), p)
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.RunLease(ctx) })
+		running.Go(func() { _ = l.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		require.True(t, p.switched())
+		cancel()
+		running.Wait()
+	})
+}
