Read the counts of ranks that serve

Cause: the leader reads the counts of the first two ranks of a group. While their failure domain is evacuated they serve nothing, so their counts tell nothing of what is in demand, and no map is switched until the evacuation ends.

Change: if the ranks whose counts are read have served nothing since they were read before, the next two are read. The number of counts read stays the same.

Test: two of four ranks idle; without the change no map is switched in 4 s.

--- a/internal/version/mapleader/estimator.go
+++ b/internal/version/mapleader/estimator.go
@@ -34,15 +34,19 @@
 	return e
 }
 
-// observe adds the counts of all ranks at one time.
-func (e *estimator) observe(now time.Time, counts []mapswitcher.Counts) {
+// observe adds the counts of some ranks at one time. It returns false if these ranks have served nothing since they were
+// read before.
+func (e *estimator) observe(now time.Time, ranks []int, counts []mapswitcher.Counts) bool {
 	sample := make([]float64, e.sets*e.experts)
-	for r, c := range counts {
+	compared := false
+	for i, c := range counts {
+		r := ranks[i]
 		if len(c.Counts) != len(sample) {
 			continue
 		}
 		// The first counts of a rank go back to its start; they only show present demand if nothing else does.
 		first := e.last[r] == nil
+		compared = compared || !first
 		for i, n := range c.Counts {
 			switch {
 			case first && e.lastAt.IsZero():
@@ -55,7 +59,7 @@
 	}
 	if len(sample) == 0 || slices.Max(sample) == 0 {
 		// Nothing was chosen, or these are the first counts since the group formed.
-		return
+		return !compared
 	}
 	weight := 1.0
 	if !e.lastAt.IsZero() {
@@ -75,6 +79,7 @@
 			e.level[s][i] += weight * (v/total - e.level[s][i])
 		}
 	}
+	return true
 }
 
 // popularity returns the share of each expert in the work of its set.
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -268,6 +268,8 @@
 	step identifier.Step
 	// unresolved is set if the group may be held.
 	unresolved bool
+	// sample is the first of the ranks whose counts are read.
+	sample int
 	// counted is set once the counts were read in this epoch.
 	counted bool
 }
@@ -525,6 +527,18 @@
 	return identifier.MapVersion(l.version)
 }
 
+// sampled returns the ranks whose counts are read, and their upstreams.
+func (k *keeper) sampled() ([]int, []mapswitcher.Member) {
+	var ranks []int
+	var members []mapswitcher.Member
+	for i := range min(sampledRanks, len(k.group.Members)) {
+		rank := (k.sample + i) % len(k.group.Members)
+		ranks = append(ranks, rank)
+		members = append(members, k.group.Members[rank])
+	}
+	return ranks, members
+}
+
 // keep reads the counts of a group and switches its map if that is worth it.
 func (l *Leader) keep(ctx context.Context, k *keeper) error {
 	if k.unresolved {
@@ -532,7 +546,7 @@
 			return err
 		}
 	}
-	sampled := k.group.Members[:min(sampledRanks, len(k.group.Members))]
+	ranks, sampled := k.sampled()
 	counts, errs := gather(ctx, sampled, l.cfg.Engines.Counts)
 	for i, c := range counts {
 		if errs[i] != nil {
@@ -542,7 +556,10 @@
 			return mapswitcher.ErrEpoch
 		}
 	}
-	k.estimator.observe(time.Now(), counts)
+	if !k.estimator.observe(time.Now(), ranks, counts) {
+		// Ranks of a failure domain that is out serve nothing and show nothing of what is in demand.
+		k.sample += sampledRanks
+	}
 	k.counted = true
 	if counts[0].Step < k.step {
 		// The ranks are still armed for the last switch and take no new map.
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,12 +30,16 @@
 	onArm func()
 	// closed makes the ranks report that their group does not work.
 	closed atomic.Bool
+	// size is the number of ranks; 2 if it is 0.
+	size int
 	// silent makes a rank answer nothing.
 	silent atomic.Bool
 	// faulty makes two in three reports fail.
 	faulty atomic.Bool
 	asked  int
 	orders int
+	// idle ranks serve nothing.
+	idle map[string]bool
 	// toldClosed is set once the leader has said that the group does not work.
 	toldClosed bool
 }
@@ -73,23 +78,26 @@
 	if p.silent.Load() && m.Address == "1" || p.faulty.Load() && p.fails() {
 		return mapswitcher.Report{}, errSilent
 	}
-	rank := identifier.Rank(0)
-	if m.Address == "1" {
-		rank = 1
+	rank, err := strconv.Atoi(m.Address)
+	if err != nil {
+		return mapswitcher.Report{}, err
 	}
-	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: rank, Size: 2, Open: !p.closed.Load()}, nil
+	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: identifier.Rank(rank), Size: max(p.size, 2), Open: !p.closed.Load()}, nil
 }
 
-func (p *pair) Counts(context.Context, mapswitcher.Member) (mapswitcher.Counts, error) {
+func (p *pair) Counts(_ context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.step++
+	if p.idle[m.Address] {
+		return mapswitcher.Counts{Step: p.step, Epoch: 1, Counts: []float64{5, 15, 5, 15}}, nil
+	}
 	return mapswitcher.Counts{Step: p.step, Epoch: 1, Counts: []float64{float64(1000 * p.step), 1, 900, 1}}, nil
 }
 
 func (p *pair) Holdings(_ context.Context, m mapswitcher.Member) (mapswitcher.Holdings, error) {
 	experts := []identifier.Expert{0, 2}
-	if m.Address == "1" {
+	if m.Address != "0" {
 		experts = []identifier.Expert{1, 3}
 	}
 	return mapswitcher.Holdings{Epoch: 1, Experts: [][]identifier.Expert{experts}}, nil
@@ -270,3 +278,22 @@
 		running.Wait()
 	})
 }
+
+// Guards against maps that stand still while the failure domain of the ranks whose counts are read is out.
+func TestIdleRanksAreNotSampled(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &pair{held: map[string]bool{}, armed: map[string]bool{}, size: 4, idle: map[string]bool{"0": true, "1": true}}
+		l := newLeader(newContest(), p,
+			cataloguer.Upstream{ID: "c", Service: "s", Address: "2", Version: 7},
+			cataloguer.Upstream{ID: "d", Service: "s", Address: "3", Version: 8})
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.RunLease(ctx) })
+		running.Go(func() { _ = l.Run(ctx) })
+		time.Sleep(4 * time.Second)
+		require.True(t, p.switched())
+		cancel()
+		running.Wait()
+	})
+}
