--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -1,8 +1,9 @@
 // Package admitter decides for each request which upstream it goes to, whether it waits, and whether it is refused.
-// It answers three loads: bursts beyond the slots of a service (requests wait in order of priority as long as they can
+// It answers four loads: bursts beyond the slots of a service (requests wait in order of priority as long as they can
 // still be served), groups of ranks that are closed for some seconds (requests that cannot be served in time are refused
-// at once with the time to come back), and upstreams that fail, slow down or start cold (others are preferred). It has
-// no I/O and no clock of its own.
+// at once with the time to come back), the backlog when such a group opens (few requests wait for their first byte, free
+// slots are dealt among gateways, and some are kept for requests that can be on time), and upstreams that fail, slow down
+// or start cold (others are preferred). It has no I/O and no clock of its own.
 package admitter
 
 import (
