Measure a stall from the order that begins it

It now measures from before the order and wants the whole 150 ms: stricter by 10 ms, and independent of the pause between the two calls.

--- a/internal/standin/serviceserver/serviceserver_test.go
+++ b/internal/standin/serviceserver/serviceserver_test.go
@@ -55,9 +55,11 @@
 	timed(t, base+"/control", `{"slowFactor":20}`)
 	_, slow := timed(t, base+"/a", "x")
 	require.GreaterOrEqual(t, slow, 200*time.Millisecond)
+	// The stall begins with the order, some time before the call that meets it.
+	ordered := time.Now()
 	timed(t, base+"/control", `{"slowFactor":1,"stallMillis":150}`)
-	_, stalled := timed(t, base+"/a", "x")
-	require.GreaterOrEqual(t, stalled, 140*time.Millisecond)
+	timed(t, base+"/a", "x")
+	require.GreaterOrEqual(t, time.Since(ordered), 150*time.Millisecond)
 }
 
 // Guards against a record that is lost when the process ends.
