Start and stop the leader of tests in one place

Assertions and bounds are unchanged; the package's tests with the race detector and the linter pass.

--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -133,6 +133,19 @@
 
 var errSilent = errors.New("no answer")
 
+// lead lets a leader look after its lease and groups until the returned function stops it.
+func lead(t *testing.T, l *mapleader.Leader) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = l.RunLease(ctx) })
+	running.Go(func() { _ = l.Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 func newLeader(c *contest, p *pair, others ...cataloguer.Upstream) *mapleader.Leader {
 	fleet := cataloguer.Fleet{
 		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{
@@ -186,21 +199,17 @@
 func TestOpenedGroupIsBalancedAheadOfReports(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
 		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
 		p.closed.Store(true)
 		l := newLeader(newContest(), p)
-		var running sync.WaitGroup
-		running.Go(func() { _ = l.RunLease(ctx) })
-		running.Go(func() { _ = l.Run(ctx) })
+		stop := lead(t, l)
 		time.Sleep(3 * time.Second)
 		require.True(t, l.Leading())
 		require.False(t, p.taken())
 		l.Opened("s")
 		time.Sleep(countsRead)
 		require.True(t, p.taken())
-		cancel()
-		running.Wait()
+		stop()
 	})
 }
 
@@ -228,16 +237,12 @@
 	t.Parallel()
 	for _, version := range []uint64{1, 9} {
 		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
 			p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
 			l := newLeader(newContest(), p, cataloguer.Upstream{ID: "ended", Service: "s", Address: "1", Version: version})
-			var running sync.WaitGroup
-			running.Go(func() { _ = l.RunLease(ctx) })
-			running.Go(func() { _ = l.Run(ctx) })
+			stop := lead(t, l)
 			time.Sleep(3 * time.Second)
 			require.True(t, p.switched())
-			cancel()
-			running.Wait()
+			stop()
 		})
 	}
 }
@@ -246,17 +251,13 @@
 func TestSilentRankDoesNotCloseTheGroup(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
 		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
 		p.silent.Store(true)
 		l := newLeader(newContest(), p)
-		var running sync.WaitGroup
-		running.Go(func() { _ = l.RunLease(ctx) })
-		running.Go(func() { _ = l.Run(ctx) })
+		stop := lead(t, l)
 		time.Sleep(3 * time.Second)
 		require.True(t, l.Leading())
-		cancel()
-		running.Wait()
+		stop()
 		require.False(t, p.toldClosed)
 	})
 }
@@ -265,17 +266,13 @@
 func TestFaultyRanksAreAskedAgain(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
 		p := &pair{held: map[string]bool{}, armed: map[string]bool{}}
 		p.faulty.Store(true)
 		l := newLeader(newContest(), p)
-		var running sync.WaitGroup
-		running.Go(func() { _ = l.RunLease(ctx) })
-		running.Go(func() { _ = l.Run(ctx) })
+		stop := lead(t, l)
 		time.Sleep(2 * time.Second)
 		require.True(t, p.switched())
-		cancel()
-		running.Wait()
+		stop()
 	})
 }
 
@@ -283,17 +280,13 @@
 func TestIdleRanksAreNotSampled(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
 		p := &pair{held: map[string]bool{}, armed: map[string]bool{}, size: 4, idle: map[string]bool{"0": true, "1": true}}
 		l := newLeader(newContest(), p,
 			cataloguer.Upstream{ID: "c", Service: "s", Address: "2", Version: 7},
 			cataloguer.Upstream{ID: "d", Service: "s", Address: "3", Version: 8})
-		var running sync.WaitGroup
-		running.Go(func() { _ = l.RunLease(ctx) })
-		running.Go(func() { _ = l.Run(ctx) })
+		stop := lead(t, l)
 		time.Sleep(4 * time.Second)
 		require.True(t, p.switched())
-		cancel()
-		running.Wait()
+		stop()
 	})
 }
