Log the shared parts of prompts whose attempt failed before its first event

Cause: after a crash of an upstream the logs could not tell which part of a prompt its requests had in common, nor whether it had begun to write an answer; the three hypotheses of docs/incidents/crashing-prompt-part.md looked the same. Change: 701 has the parts of the prompt that others may share, and the time of the response's head, if no event arrived.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -480,13 +480,14 @@
 
 func (g *gateway) clientHandler() http.Handler {
 	return forwarder.New(forwarder.Config{
-		Names:     platform.HeaderNames(),
-		Fleet:     func() cataloguer.Fleet { return *g.fleet.Load() },
-		Admitter:  g.admitter,
-		Budgeter:  g.budgeter,
-		Requester: g.requester,
-		Log:       g.log,
-		Meter:     g.meter,
-		Stopping:  g.stopping,
+		Names:       platform.HeaderNames(),
+		SharedParts: platform.SharedParts,
+		Fleet:       func() cataloguer.Fleet { return *g.fleet.Load() },
+		Admitter:    g.admitter,
+		Budgeter:    g.budgeter,
+		Requester:   g.requester,
+		Log:         g.log,
+		Meter:       g.meter,
+		Stopping:    g.stopping,
 	})
 }
--- a/internal/process/identifier/identifier.go
+++ b/internal/process/identifier/identifier.go
@@ -28,6 +28,8 @@
 	Key string
 	// Crash identifies one crash of one upstream, so that several reports of it count once.
 	Crash string
+	// PromptPart identifies one part of a prompt by its content; prompts that begin alike have parts in common.
+	PromptPart string
 	// Digest is a hexadecimal digest of content that must not be stored or logged itself.
 	Digest string
 )
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/requester"
+	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
@@ -94,7 +95,7 @@
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
 	sent := time.Now()
-	s.firstByte = 0
+	s.firstByte, s.head = 0, 0
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -194,6 +195,7 @@
 // receive checks the head of a response and forwards the response to the client if it is valid. An error response is
 // returned in the result instead, since a retry may succeed.
 func (f *Forwarder) receive(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time) attemptResult {
+	s.head = time.Since(sent)
 	n := f.cfg.Names
 	id := got.Header.Get(n.RequestID)
 	switch {
@@ -307,6 +309,12 @@
 	if s.firstByte > 0 {
 		line = line.Dur("firstByteMs", s.firstByte)
 	}
+	if !r.complete && s.firstByte == 0 {
+		line = line.Strs("parts", partNames(c.parts))
+		if s.head > 0 {
+			line = line.Dur("headMs", s.head)
+		}
+	}
 	if r.detail != "" {
 		line = line.Str("detail", r.detail)
 	}
@@ -316,6 +324,15 @@
 	line.Send()
 }
 
+// partNames returns the parts of a prompt as texts.
+func partNames(parts []identifier.PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = string(p)
+	}
+	return names
+}
+
 // logEnd logs the end of a request; status is 0 if its connection was closed without a complete response.
 func (f *Forwarder) logEnd(c *call, status int, reason string) {
 	f.responseTimes.Observe(time.Since(c.arrived))
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -74,6 +74,9 @@
 // Config sets up a Forwarder.
 type Config struct {
 	Names HeaderNames
+	// SharedParts returns the parts of a request's prompt that other requests may have in common with it; none if it is
+	// nil.
+	SharedParts func(http.Header) []identifier.PromptPart
 	// Fleet returns the current configuration and upstreams.
 	Fleet     func() cataloguer.Fleet
 	Admitter  *admitter.Admitter
@@ -97,6 +100,9 @@
 
 // New returns a Forwarder.
 func New(cfg Config) *Forwarder {
+	if cfg.SharedParts == nil {
+		cfg.SharedParts = func(http.Header) []identifier.PromptPart { return nil }
+	}
 	f := &Forwarder{
 		cfg:            cfg,
 		droppedHeaders: map[string]bool{},
@@ -130,6 +136,8 @@
 	grantUntil  time.Time
 	onTimeUntil time.Time
 	body        []byte
+	// parts are those of the prompt that other requests may have in common with this one.
+	parts []identifier.PromptPart
 	// lastEventID is the id of the last event that the client received, or empty.
 	lastEventID string
 	// noClientRetry is set if the client is not expected to retry after a refusal: this request is a retry, or its stream
@@ -188,6 +196,7 @@
 	c.route, c.customer = route, customer
 	c.service = route.Pick(rand.Float64())
 	c.lastEventID = r.Header.Get(f.cfg.Names.LastEvent)
+	c.parts = f.cfg.SharedParts(r.Header)
 	return 0, ""
 }
 
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -32,6 +32,8 @@
 	stall *stallTimer
 	// grant is that of the latest attempt.
 	grant admitter.Granted
+	// head is the time from sending the latest attempt to the head of its response, or 0.
+	head time.Duration
 	// firstByte is the time from sending the latest attempt to the first event of its response, or 0.
 	firstByte time.Duration
 }
