Reproduce a part of a prompt that crashes every rank

Change: the simulated group of the forwarder's load tests has ranks that crash on a part of a prompt, and a test plays 3 in 100 requests with it against 8 gateways.

--- a/internal/request/forwarder/enginegroup_test.go
+++ b/internal/request/forwarder/enginegroup_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +33,9 @@
 	balancedSkew   = 1.05
 	// stallDuration is the time from a failure until the group aborts the requests that it runs.
 	stallDuration = 1500 * time.Millisecond
+	// restartTime is how long a rank that crashed is down, and formTime how long the group needs after that.
+	restartTime = 3 * time.Second
+	formTime    = 600 * time.Millisecond
 )
 
 type groupState int
@@ -48,6 +54,9 @@
 	lastEvent  int
 	eventCount int
 	eventIDs   chan int
+	// deadly is set if the rank crashes when it begins to respond. crashed is closed when the rank crashes.
+	deadly  bool
+	crashed chan struct{}
 	// clientGone is closed when the client closes its connection.
 	clientGone chan struct{}
 }
@@ -70,6 +79,9 @@
 	balancedFrom time.Time
 	running      [rankCount][]*engineRequest
 	waiting      [rankCount][]*engineRequest
+	// downUntil is when a rank that crashed listens again, and crashes holds the times of all crashes.
+	downUntil [rankCount]time.Time
+	crashes   []time.Time
 	// arrivals wakes runPasses.
 	arrivals chan struct{}
 	// aborted is closed, and replaced, when the group aborts its requests.
@@ -88,6 +100,12 @@
 	if err != nil {
 		return nil, err
 	}
+	g.mu.Lock()
+	down := time.Now().Before(g.downUntil[rank])
+	g.mu.Unlock()
+	if down {
+		return nil, syscall.ECONNREFUSED
+	}
 	clientSide, serverSide := net.Pipe()
 	go g.serve(serverSide, rank)
 	return clientSide, nil
@@ -104,7 +122,10 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
-	request := &engineRequest{eventIDs: make(chan int, 256), clientGone: make(chan struct{})}
+	request := &engineRequest{
+		eventIDs: make(chan int, 256), clientGone: make(chan struct{}), crashed: make(chan struct{}),
+		deadly: slices.Contains(strings.Split(q.Header.Get("Parts"), ","), deadlyPart),
+	}
 	_, _ = fmt.Sscanf(q.Header.Get("Size"), "%d,%d", &request.prefillLeft, &request.eventCount)
 	request.lastEvent, _ = strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	go func() {
@@ -129,6 +150,11 @@
 		select {
 		case <-request.clientGone:
 			return
+		case <-request.crashed:
+			if request.deadly {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Id"))
+			}
+			return
 		case <-aborted:
 			if !started {
 				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nLoad: 0,0,%d\r\nContent-Length: 0\r\n\r\n",
@@ -187,6 +213,28 @@
 	g.mu.Unlock()
 }
 
+// crash ends a rank and all requests on it, which makes the group fail until the rank is back. g.mu is held.
+func (g *engineGroup) crash(rank int) {
+	now := time.Now()
+	g.crashes = append(g.crashes, now)
+	g.downUntil[rank] = now.Add(restartTime)
+	for _, request := range append(g.running[rank], g.waiting[rank]...) {
+		close(request.crashed)
+	}
+	g.running[rank], g.waiting[rank] = nil, nil
+	if g.state == groupOpen {
+		g.state = groupStalled
+		go g.failFor(restartTime+formTime, time.Second)
+	}
+}
+
+// crashTimes returns the times of all crashes so far.
+func (g *engineGroup) crashTimes() []time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.crashes)
+}
+
 // runPasses runs passes while there are requests, until the context ends.
 func (g *engineGroup) runPasses(ctx context.Context) {
 	for {
@@ -255,6 +303,10 @@
 			prefilled := min(budget, request.prefillLeft)
 			budget -= prefilled
 			request.prefillLeft -= prefilled
+			if request.prefillLeft == 0 && request.deadly {
+				g.crash(r)
+				break
+			}
 			if request.prefillLeft == 0 {
 				request.lastEvent++
 				request.eventIDs <- request.lastEvent
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -33,8 +33,14 @@
 	clientGapTarget  = 120 * time.Millisecond
 	clientsPerSecond = 75
 	gatewayCount     = 8
-	reportInterval   = 200 * time.Millisecond
-	tickInterval     = 50 * time.Millisecond
+	// subjectCount is the number of prompt parts that sound requests share, and deadlyPart one that crashes ranks. It is in
+	// deadlyShare of the requests.
+	subjectCount = 50
+	deadlyPart   = "deadly"
+	deadlyShare  = 0.03
+
+	reportInterval = 200 * time.Millisecond
+	tickInterval   = 50 * time.Millisecond
 )
 
 // outcome classifies the result of a client's request.
@@ -60,13 +66,20 @@
 	admitters []*admitter.Admitter
 	handlers  []http.Handler
 	started   time.Time
-	random    *rand.Rand
-	mu        sync.Mutex
-	results   []requestResult
+	// random draws the requests, and promptRandom the parts of their prompts.
+	random       *rand.Rand
+	promptRandom *rand.Rand
+	// deadlyFrom is when requests with deadlyPart begin to come, or 0 for none.
+	deadlyFrom time.Duration
+	mu         sync.Mutex
+	results    []requestResult
 }
 
 func newSimulation(ctx context.Context, seed uint64) *simulation {
-	s := &simulation{group: newEngineGroup(ctx), started: time.Now(), random: rand.New(rand.NewPCG(seed, 1))}
+	s := &simulation{
+		group: newEngineGroup(ctx), started: time.Now(),
+		random: rand.New(rand.NewPCG(seed, 1)), promptRandom: rand.New(rand.NewPCG(seed, 0)),
+	}
 	service := identifier.Service("model")
 	fleet := cataloguer.Fleet{Catalogue: cataloguer.New(cataloguer.Config{
 		Version: 1,
@@ -90,7 +103,14 @@
 		b := budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 92, Window: 10 * time.Second}, gatewayCount)
 		s.admitters = append(s.admitters, a)
 		s.handlers = append(s.handlers, forwarder.New(forwarder.Config{
-			Names:     names,
+			Names: names,
+			SharedParts: func(h http.Header) []identifier.PromptPart {
+				var parts []identifier.PromptPart
+				for _, p := range strings.Split(h.Get("Parts"), ",") {
+					parts = append(parts, identifier.PromptPart(p))
+				}
+				return parts
+			},
 			Fleet:     func() cataloguer.Fleet { return fleet },
 			Admitter:  a,
 			Budgeter:  b,
@@ -162,19 +182,24 @@
 		prompt := int(300 + 500*s.random.ExpFloat64())
 		events := int(min(69, 8+20*s.random.ExpFloat64()))
 		gateways := [2]int{s.random.IntN(gatewayCount), s.random.IntN(gatewayCount)}
-		clients.Go(func() { s.runClient(n, prompt, events, gateways) })
+		parts := fmt.Sprint("subject", s.promptRandom.IntN(subjectCount))
+		deadly := s.deadlyFrom > 0 && time.Since(s.started) >= s.deadlyFrom && s.promptRandom.Float64() < deadlyShare
+		if deadly {
+			parts += "," + deadlyPart
+		}
+		clients.Go(func() { s.runClient(n, prompt, events, parts, deadly, gateways) })
 		time.Sleep(time.Duration(-math.Log(1-s.random.Float64()) / clientsPerSecond * float64(time.Second)))
 	}
 	clients.Wait()
 }
 
 // runClient sends a request to the first gateway and retries it once at the second, after the Retry-After of the first.
-func (s *simulation) runClient(n, prompt, events int, gateways [2]int) {
+func (s *simulation) runClient(n, prompt, events int, parts string, deadly bool, gateways [2]int) {
 	started := time.Now()
 	progress := &streamProgress{}
 	result := outcomeFailed
 	for attempt := range gateways {
-		a := s.sendOnce(fmt.Sprintf("%d-%d", n, attempt), prompt, events, gateways[attempt], started.Add(clientDeadline), progress)
+		a := s.sendOnce(fmt.Sprintf("%d-%d", n, attempt), prompt, events, parts, gateways[attempt], started.Add(clientDeadline), progress)
 		if a.complete {
 			result = outcomeOnTime
 			if progress.firstEventAt.Sub(started) > clientObjective || progress.maxGap > clientGapTarget {
@@ -188,6 +213,9 @@
 		}
 		time.Sleep(min(a.retryAfter, time.Until(started.Add(clientDeadline))/3))
 	}
+	if deadly {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.results = append(s.results, requestResult{sent: started.Sub(s.started), outcome: result})
@@ -210,7 +238,7 @@
 }
 
 // sendOnce sends a request to a gateway, resuming the stream if some of it was received before.
-func (s *simulation) sendOnce(id string, prompt, events, gateway int, deadline time.Time, progress *streamProgress) clientAttempt {
+func (s *simulation) sendOnce(id string, prompt, events int, parts string, gateway int, deadline time.Time, progress *streamProgress) clientAttempt {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/stream/x", strings.NewReader("prompt"))
@@ -221,6 +249,7 @@
 	q.Header.Set("Id", id)
 	q.Header.Set("Deadline", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	q.Header.Set("Size", fmt.Sprintf("%d,%d", prompt, events))
+	q.Header.Set("Parts", parts)
 	if progress.lastEvent > 0 {
 		q.Header.Set("Last-Event-Id", strconv.Itoa(progress.lastEvent))
 	}
@@ -341,6 +370,29 @@
 	}
 }
 
+// Load: from 8 s on, 3 in 100 requests hold a part of a prompt that crashes each rank which begins to respond. Guards
+// against gateways that send such requests again after each outage.
+func TestCrashingPromptPartCrashesFewUpstreams(t *testing.T) {
+	t.Parallel()
+	var crashes []time.Time
+	var after map[outcome]float64
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newSimulation(ctx, 1)
+		s.deadlyFrom = 8 * time.Second
+		s.sendRequests(t, 35*time.Second)
+		crashes = s.group.crashTimes()
+		after = s.shares(20*time.Second, 35*time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	t.Logf("%d crashes, after them %v", len(crashes), after)
+	require.NotEmpty(t, crashes)
+	require.LessOrEqual(t, len(crashes), 5)
+	require.Less(t, crashes[len(crashes)-1].Sub(crashes[0]), 8*time.Second, "the group has one more outage at the most")
+	require.Greater(t, after[outcomeOnTime], 0.95)
+}
+
 // Load: a group opens just after a client whose stream broke has sent its retry. Guards against a refusal of the retry,
 // since the client does not retry again.
 func TestBrokenStreamOfRetryingClientIsResumed(t *testing.T) {
@@ -352,11 +404,11 @@
 		time.Sleep(stallDuration + 100*time.Millisecond)
 		// With these requests, each gateway observes that the group is closed.
 		for i := range gatewayCount {
-			go s.runClient(i, 100, 3, [2]int{i, i})
+			go s.runClient(i, 100, 3, "", false, [2]int{i, i})
 		}
 		time.Sleep(500 * time.Millisecond)
 		progress := &streamProgress{lastEvent: 3}
-		a := s.sendOnce("retry", 100, 9, 0, time.Now().Add(7*time.Second), progress)
+		a := s.sendOnce("retry", 100, 9, "", 0, time.Now().Add(7*time.Second), progress)
 		require.True(t, a.complete)
 		require.Equal(t, 9, progress.lastEvent)
 		cancel()
