Refuse requests with a part of a prompt that crashed an upstream

Cause: no gateway remembered what an upstream was about to answer when it crashed. Class: a failure whose cause travels with the load and is sent on to the next upstream. Change: request/screener (no I/O) takes each request without an answer on an upstream that then refuses connections as a suspicion: its culprits are the parts of the prompt that no upstream has answered. Requests with all of them are refused, those with some are isolated on one upstream that all gateways choose alike. Gateways exchange suspicions and answers in their datagrams, relays pass them on at once, and a gateway that starts gets them with the first one. One customer's crashes refuse only its own requests; state, reports and refusals are bounded and expire.

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -157,6 +157,9 @@
 		return nil, false
 	}
 	t.heardAt, t.domain = now, s.FailureDomain
+	if len(s.Crashes.Suspicions) > 0 {
+		f.events = append(f.events, CrashesReported{Peer: s.Node, Report: s.Crashes})
+	}
 	if s.FailureDomain == f.cfg.FailureDomain {
 		return nil, f.receiveOwn(now, d) && f.IsRelay()
 	}
--- a/internal/connection/federator/state.go
+++ b/internal/connection/federator/state.go
@@ -39,6 +39,8 @@
 	StoreAge time.Duration
 	// Resigned is the version of the lease row that the gateway last resigned without a write to the store, or 0.
 	Resigned uint64
+	// Crashes is what the gateway knows of requests that crash upstreams; empty in most datagrams.
+	Crashes CrashReport
 	// Peers are datagram addresses of other gateways.
 	Peers []string
 }
@@ -140,6 +142,13 @@
 	Open map[identifier.Service]bool
 }
 
-func (PeerChanged) event()    {}
-func (GroupOpened) event()    {}
-func (GroupsReported) event() {}
+// CrashesReported holds what another gateway knows of requests that crash upstreams.
+type CrashesReported struct {
+	Peer   identifier.Node
+	Report CrashReport
+}
+
+func (CrashesReported) event() {}
+func (PeerChanged) event()     {}
+func (GroupOpened) event()     {}
+func (GroupsReported) event()  {}
--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -29,11 +29,25 @@
 	StoreLost      bool              `cbor:"storeLost,omitempty"`
 	StoreAgeMs     uint64            `cbor:"storeAgeMs,omitempty"`
 	Resigned       uint64            `cbor:"resigned,omitempty"`
+	Crashes        []wireSuspicion   `cbor:"crashes,omitempty"`
+	AnsweredAgesMs map[string]int64  `cbor:"answeredAgesMs,omitempty"`
 	Peers          []string          `cbor:"peers,omitempty"`
 	Summaries      []wireSummary     `cbor:"summaries,omitempty"`
 	Relays         []wireContact     `cbor:"relays,omitempty"`
 }
 
+// wireSuspicion is the CBOR form of a Suspicion. Its time is sent as its age.
+type wireSuspicion struct {
+	Node        string   `cbor:"node"`
+	Incarnation uint64   `cbor:"incarnation"`
+	Sequence    uint64   `cbor:"sequence"`
+	AgeMs       int64    `cbor:"ageMs"`
+	Customer    string   `cbor:"customer"`
+	Parts       []string `cbor:"parts"`
+	Request     string   `cbor:"request"`
+	Responding  bool     `cbor:"responding,omitempty"`
+}
+
 // wireContact is the CBOR form of a Contact.
 type wireContact struct {
 	Address       string `cbor:"address"`
@@ -88,6 +102,7 @@
 		Resigned:       s.Resigned,
 		Peers:          s.Peers,
 	}
+	w.Crashes, w.AnsweredAgesMs = encodeCrashes(now, s.Crashes)
 	for _, c := range d.Relays {
 		w.Relays = append(w.Relays, wireContact{Address: c.Address, FailureDomain: string(c.FailureDomain)})
 	}
@@ -98,6 +113,41 @@
 	return raw, errors.Wrap(err, "encode the state")
 }
 
+func encodeCrashes(now time.Time, r federator.CrashReport) ([]wireSuspicion, map[string]int64) {
+	if len(r.Suspicions) == 0 {
+		return nil, nil
+	}
+	suspicions := make([]wireSuspicion, 0, len(r.Suspicions))
+	for _, s := range r.Suspicions {
+		suspicions = append(suspicions, wireSuspicion{
+			Node: string(s.Node), Incarnation: uint64(s.Incarnation), Sequence: s.Sequence,
+			AgeMs: now.Sub(s.At).Milliseconds(), Customer: string(s.Customer), Parts: convertAll[string](s.Parts),
+			Request: string(s.Request), Responding: s.Responding,
+		})
+	}
+	ages := make(map[string]int64, len(r.Answered))
+	for part, at := range r.Answered {
+		ages[string(part)] = now.Sub(at).Milliseconds()
+	}
+	return suspicions, ages
+}
+
+func decodeCrashes(now time.Time, w wireState) federator.CrashReport {
+	r := federator.CrashReport{Answered: make(map[identifier.PromptPart]time.Time, len(w.AnsweredAgesMs))}
+	for _, s := range w.Crashes {
+		r.Suspicions = append(r.Suspicions, federator.Suspicion{
+			Node: identifier.Node(s.Node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
+			At: before(now, s.AgeMs), Customer: identifier.Customer(s.Customer),
+			Parts: convertAll[identifier.PromptPart](s.Parts), Request: identifier.PromptPart(s.Request),
+			Responding: s.Responding,
+		})
+	}
+	for part, age := range w.AnsweredAgesMs {
+		r.Answered[identifier.PromptPart(part)] = before(now, age)
+	}
+	return r
+}
+
 func encodeSummary(now time.Time, s federator.Summary) wireSummary {
 	w := wireSummary{
 		FailureDomain:  string(s.FailureDomain),
@@ -155,6 +205,7 @@
 			Peers:          w.Peers,
 		},
 	}
+	d.State.Crashes = decodeCrashes(now, w)
 	for _, c := range w.Relays {
 		d.Relays = append(d.Relays, federator.Contact{Address: c.Address, FailureDomain: identifier.FailureDomain(c.FailureDomain)})
 	}
@@ -210,3 +261,12 @@
 	}
 	return out
 }
+
+// convertAll returns the texts converted to another string type.
+func convertAll[To, From ~string](in []From) []To {
+	out := make([]To, len(in))
+	for i, v := range in {
+		out[i] = To(v)
+	}
+	return out
+}
--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -318,6 +318,16 @@
 	return newConnection(raw), nil
 }
 
+// Refuses reports whether an address refuses connections, as it does once its process has ended.
+func (r *Requester) Refuses(ctx context.Context, address string) bool {
+	raw, err := r.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = raw.Close()
+	return false
+}
+
 // put adds an idle connection, or closes it if the address has maxIdlePerAddress already.
 func (r *Requester) put(address string, c *connection, maxIdle time.Duration) {
 	c.expires = time.Now().Add(maxIdle)
--- /dev/null
+++ b/internal/process/gatewayrunner/crash_test.go
@@ -0,0 +1,76 @@
+package gatewayrunner_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// crashingUpstream listens until it has begun its first response.
+type crashingUpstream struct {
+	listener net.Listener
+	requests atomic.Int32
+}
+
+func newCrashingUpstream(t *testing.T) *crashingUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &crashingUpstream{listener: l}
+	go u.serve()
+	return u
+}
+
+func (u *crashingUpstream) serve() {
+	c, err := u.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	u.requests.Add(1)
+	_ = u.listener.Close()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nRunner-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Request-Id"))
+}
+
+// Guards against a gateway that sends requests with a part of a prompt that has crashed an upstream of another gateway:
+// one that runs already, and one that starts later.
+func TestCrashingPartIsKnownToAllGateways(t *testing.T) {
+	d := newDeployment(t)
+	u := newCrashingUpstream(t)
+	d.upstreamAddress = u.listener.Addr().String()
+	d.register()
+	d.store.Put("op", "config", `{"version":1,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"streaming","timeoutMs":4000,"sloMs":400,"service":"s","attempts":2}],"services":[{"name":"s","engine":{}}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`)
+	first := d.start(t, "127.0.0.1", 17345, "", d.storeAddress)
+	second := d.start(t, "127.0.0.2", 17345, "127.0.0.1:1", d.storeAddress)
+	for _, g := range []*gateway{first, second} {
+		require.Eventually(t, func() bool { return g.isReady(t) }, timeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), "peer gateway is live") }, timeout, 10*time.Millisecond)
+	}
+	code, _ := first.sendPrompt(t, "1", "subject:40,deadly:100,own:200")
+	require.Equal(t, http.StatusBadGateway, code)
+	require.Eventually(t, func() bool { return strings.Contains(second.log.String(), `"event":728`) }, timeout, time.Millisecond)
+	code, body := second.sendPrompt(t, "2", "subject:40,deadly:100,another:200")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Contains(t, body, "crashes")
+
+	third := d.start(t, "127.0.0.3", 17345, "127.0.0.2:1", d.storeAddress)
+	require.Eventually(t, func() bool { return strings.Contains(third.log.String(), `"event":728`) }, timeout, time.Millisecond)
+	require.Eventually(t, func() bool { return third.isReady(t) }, timeout, time.Millisecond)
+	code, body = third.sendPrompt(t, "3", "subject:40,deadly:100,last:200")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Contains(t, body, "crashes")
+	require.Equal(t, int32(1), u.requests.Load())
+	require.NotContains(t, third.log.String(), `"customer"`)
+}
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -27,6 +27,7 @@
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/follower"
 	"currantledge.example/currantledge/internal/version/mapleader"
@@ -79,11 +80,14 @@
 	store      *platform.Store
 	replicator *replicator.Replicator
 	admitter   *admitter.Admitter
-	budgeter   *budgeter.Budgeter
-	requester  *requester.Requester
-	gossiper   *gossiper.Gossiper
-	relayer    *relayer.Relayer
-	fleet      atomic.Pointer[cataloguer.Fleet]
+	screener   *screener.Screener
+	// crashNews tells when the peers get what the screener knows.
+	crashNews newsTimer
+	budgeter  *budgeter.Budgeter
+	requester *requester.Requester
+	gossiper  *gossiper.Gossiper
+	relayer   *relayer.Relayer
+	fleet     atomic.Pointer[cataloguer.Fleet]
 	// stopping is closed when the graceful stop begins.
 	stopping chan struct{}
 	// ready is the result of the last readiness check.
@@ -166,6 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.screener = screener.New(screener.Config{Node: settings.Node, Incarnation: g.gossiper.Incarnation()})
 	g.groups = newGroupStates(g.admitter)
 	g.operatorFollower = g.newFollower(platform.OperatorTable, false)
 	g.upstreamFollower = g.newFollower(platform.UpstreamTable, true)
@@ -234,13 +239,19 @@
 		s.Groups = g.groups.states()
 	}
 	s.Stopping = g.isStopping()
+	if now := time.Now(); g.crashNews.due(now) {
+		s.Crashes = g.screener.Report(now)
+	}
 }
 
 // handlePeerEvent applies what the gateway has learned from others.
 func (g *gateway) handlePeerEvent(e federator.Event) {
 	switch e := e.(type) {
 	case federator.PeerChanged:
+		g.crashNews.add(time.Now())
 		g.logPeerChange(e.Peer)
+	case federator.CrashesReported:
+		g.mergeCrashes(e)
 	case federator.GroupOpened:
 		g.leader.GroupOpened(e.Service)
 		g.admitter.GroupOpened(time.Now(), e.Service)
@@ -251,6 +262,35 @@
 	}
 }
 
+// mergeCrashes applies what another gateway knows of requests that crash upstreams. A relay passes news on at once.
+func (g *gateway) mergeCrashes(e federator.CrashesReported) {
+	now := time.Now()
+	news := g.screener.Merge(now, e.Report)
+	if len(news) == 0 {
+		return
+	}
+	for _, s := range news {
+		parts := make([]string, len(s.Parts))
+		for i, p := range s.Parts {
+			parts[i] = string(p)
+		}
+		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
+			Bool("responding", s.Responding).Strs("parts", parts).Dur("ageMs", now.Sub(s.At)).Send()
+	}
+	g.crashNews.add(now)
+	if g.gossiper.IsRelay() {
+		g.gossiper.Broadcast()
+	}
+}
+
+// announceCrash sends a crash that this gateway has observed to the peers, at once if the request to blame is known.
+func (g *gateway) announceCrash(responding bool) {
+	g.crashNews.add(time.Now())
+	if responding {
+		g.gossiper.Broadcast()
+	}
+}
+
 // countPeers updates the number of requests that the other gateways run on each upstream and the number of gateways that
 // share the limits.
 func (g *gateway) countPeers(now time.Time) {
@@ -484,6 +524,8 @@
 		SharedParts: platform.SharedParts,
 		Fleet:       func() cataloguer.Fleet { return *g.fleet.Load() },
 		Admitter:    g.admitter,
+		Screener:    g.screener,
+		OnCrash:     g.announceCrash,
 		Budgeter:    g.budgeter,
 		Requester:   g.requester,
 		Log:         g.log,
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -192,6 +192,17 @@
 // send sends a client request and returns status code and body of the response. After an error it returns 0 and the text
 // of the error.
 func (g *gateway) send(t *testing.T, path, id string) (int, string) {
+	t.Helper()
+	return g.sendWith(t, path, id, nil)
+}
+
+// sendPrompt sends a request whose prompt consists of the given parts.
+func (g *gateway) sendPrompt(t *testing.T, id, parts string) (int, string) {
+	t.Helper()
+	return g.sendWith(t, "/a/", id, http.Header{"Prompt-Prefix": {parts}})
+}
+
+func (g *gateway) sendWith(t *testing.T, path, id string, header http.Header) (int, string) {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+g.clientAddress+path, strings.NewReader("x"))
 	require.NoError(t, err)
@@ -199,6 +210,9 @@
 	q.Header.Set("Request-Id", id)
 	q.Header.Set("Credential", "k")
 	q.Header.Set("Deadline-Ms", "4000")
+	for name, values := range header {
+		q.Header[name] = values
+	}
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -67,6 +67,8 @@
 	EventMapKept              Event = 724
 	EventDemandShifted        Event = 725
 	EventGroupUnreadable      Event = 726
+	EventUpstreamCrashed      Event = 727
+	EventCrashReported        Event = 728
 	EventLinesDropped         Event = 730
 	EventSettingsReloaded     Event = 731
 	EventSeedInvalid          Event = 732
@@ -133,6 +135,8 @@
 	EventHoldReleased:         {zerolog.WarnLevel, "model group released after an unfinished map switch"},
 	EventMapKept:              {zerolog.InfoLevel, "expert map kept"},
 	EventDemandShifted:        {zerolog.InfoLevel, "demand for experts shifted"},
+	EventUpstreamCrashed:      {zerolog.WarnLevel, "upstream crashed before it answered a request"},
+	EventCrashReported:        {zerolog.InfoLevel, "crash of an upstream learned from a peer"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -56,6 +56,8 @@
 		{GatewayBroken, TypeCounter, "requests"},
 		{GatewayCancelled, TypeCounter, "requests"},
 		{GatewayOversized, TypeCounter, "responses"},
+		{GatewayCrashes, TypeCounter, "requests"},
+		{GatewayScreened, TypeCounter, "requests"},
 		{StoreFailures, TypeCounter, "calls"},
 		{MapSwitches, TypeCounter, "switches"},
 		{MapsAbandoned, TypeCounter, "switches"},
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -47,6 +47,8 @@
 	GatewayBroken    Name = "gatewayBroken"
 	GatewayCancelled Name = "gatewayCancelled"
 	GatewayOversized Name = "gatewayOversized"
+	GatewayCrashes   Name = "gatewayCrashes"
+	GatewayScreened  Name = "gatewayScreened"
 	StoreFailures    Name = "storeFailures"
 	MapSwitches      Name = "mapSwitches"
 	MapsAbandoned    Name = "mapsAbandoned"
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -234,7 +234,7 @@
 	t := &Ticket{request: request, arrived: now, serial: a.serial, decided: make(chan Decision, 1)}
 	s := a.service(request.Service)
 	at := s.insertPosition(now, t)
-	if at == 0 && a.grant(now, s, t) {
+	if !slices.ContainsFunc(s.queue[:at], func(ahead *Ticket) bool { return !ahead.isIsolated() }) && a.grant(now, s, t) {
 		return t
 	}
 	s.queue = slices.Insert(s.queue, at, t)
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -528,3 +528,29 @@
 	f.Done(now.Add(300*time.Millisecond), running, admitter.Cancelled{})
 	requireGranted(t, ticket)
 }
+
+// Guards against isolated requests of several gateways on different upstreams, each of which they may crash, against one
+// that probes a closed group, and against one that blocks the requests behind it.
+func TestIsolatedRequestsShareAnUpstream(t *testing.T) {
+	t.Parallel()
+	var upstreams []cataloguer.Upstream
+	for i := range 8 {
+		upstreams = append(upstreams, upstream(identifier.Upstream(fmt.Sprint("rank", i)), model, 1))
+	}
+	chosen := map[identifier.Upstream]bool{}
+	for range 6 {
+		f := newFixtureWithDraw(rand.Float64, upstreams...)
+		f.SetGateways(6)
+		isolated := request(model, start)
+		isolated.IsolateBy = "part"
+		chosen[requireGrantedUpstream(t, f.Submit(start, isolated))] = true
+		waiting := f.Submit(start, isolated)
+		require.Nil(t, decision(waiting))
+		requireGranted(t, f.Submit(start, request(model, start)))
+		f.GroupClosed(start.Add(2*time.Second), model)
+		again := request(model, start.Add(3*time.Second))
+		again.IsolateBy, again.NoClientRetry = "another", true
+		require.Nil(t, decision(f.Submit(start.Add(3*time.Second), again)))
+	}
+	require.Len(t, chosen, 1)
+}
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -75,6 +75,9 @@
 	// NoClientRetry is set if the client is not expected to retry after a refusal, for example because this request is a
 	// retry. Such a request is not refused because of an estimate; it waits until GrantUntil.
 	NoClientRetry bool
+	// IsolateBy is set if the request may crash its upstream. Such requests go to one upstream, which all gateways choose
+	// alike by this text, and they do not probe a closed group.
+	IsolateBy string
 	// Exclude holds the upstreams to which earlier attempts of the request were assigned.
 	Exclude map[identifier.Upstream]bool
 }
@@ -92,6 +95,11 @@
 	return t.decided
 }
 
+// isIsolated reports whether the request may go to one upstream only, so that those behind it need not wait for it.
+func (t *Ticket) isIsolated() bool {
+	return t.request.IsolateBy != ""
+}
+
 // resolve delivers the decision. It does not block, since each ticket gets at most one.
 func (t *Ticket) resolve(d Decision) {
 	t.decided <- d
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -4,12 +4,21 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // choose returns the best upstream of a random sample of those that can accept the request, or nil. The counts of other
 // gateways are some hundred milliseconds old: if every gateway chose the best of all, many would choose the same one at
 // the same time.
 func (a *Admitter) choose(now time.Time, s *service, request Request) *upstream {
+	if request.IsolateBy != "" {
+		u := a.isolationUpstream(request)
+		if u == nil || !a.accepts(now, s, u) {
+			return nil
+		}
+		return u
+	}
 	var accepting []*upstream
 	for _, u := range a.upstreams {
 		if u.Service == request.Service && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u) {
@@ -33,6 +42,22 @@
 	return best
 }
 
+// isolationUpstream returns the upstream for an isolated request by rendezvous hashing, or nil. Gateways that know the
+// same upstreams choose the same one.
+func (a *Admitter) isolationUpstream(request Request) *upstream {
+	var best *upstream
+	var bestHash uint64
+	for _, u := range a.upstreams {
+		if u.Service != request.Service || request.Exclude[u.ID] || !a.usable(u) {
+			continue
+		}
+		if h := xxhash.Sum64String(request.IsolateBy + "/" + string(u.ID)); best == nil || h > bestHash {
+			best, bestHash = u, h
+		}
+	}
+	return best
+}
+
 // accepts reports whether an upstream can accept one more request now: it has a free slot within this gateway's
 // allotment, no backoff, and, if it is cold, its rate limit allows a request.
 func (a *Admitter) accepts(now time.Time, s *service, u *upstream) bool {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -47,8 +47,8 @@
 				if a.grant(now, s, t) {
 					continue
 				}
-				// A request that excludes upstreams may find none while the next request does.
-				blocked = len(t.request.Exclude) == 0
+				// A request that excludes upstreams or is isolated may find none while the next request does.
+				blocked = len(t.request.Exclude) == 0 && !t.isIsolated()
 			}
 			if r, refused := a.refusal(now, s, t); refused {
 				t.resolve(r)
@@ -67,7 +67,7 @@
 	if !s.closed && a.stalled(now, s) {
 		a.closeGroup(now, s, CauseStall)
 	}
-	if s.closed && now.Sub(s.lastProbe) < a.ownProbeInterval() {
+	if s.closed && (t.isIsolated() || now.Sub(s.lastProbe) < a.ownProbeInterval()) {
 		return false
 	}
 	isStart := s.Engine != nil && t.request.Stream
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -42,6 +42,8 @@
 	unsent bool
 	// notRun is set if the upstream rejected the request without running it.
 	notRun bool
+	// broke is set if the connection ended before the response did, for no reason of the gateway or the client.
+	broke bool
 	// errorResponse is the upstream's error response, which the client receives if no attempt succeeds.
 	errorResponse *response
 	// detail and err describe the result in the log.
@@ -154,6 +156,8 @@
 		out.detail = "response too large"
 	case s.stall.fired():
 		out.detail = "no event in time"
+	default:
+		out.broke = true
 	}
 	return out
 }
@@ -310,7 +314,7 @@
 		line = line.Dur("firstByteMs", s.firstByte)
 	}
 	if !r.complete && s.firstByte == 0 {
-		line = line.Strs("parts", partNames(c.parts))
+		line = line.Strs("parts", partNames(c.prompt.Parts))
 		if s.head > 0 {
 			line = line.Dur("headMs", s.head)
 		}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
@@ -78,8 +79,12 @@
 	// nil.
 	SharedParts func(http.Header) []identifier.PromptPart
 	// Fleet returns the current configuration and upstreams.
-	Fleet     func() cataloguer.Fleet
-	Admitter  *admitter.Admitter
+	Fleet    func() cataloguer.Fleet
+	Admitter *admitter.Admitter
+	Screener *screener.Screener
+	// OnCrash is called once the screener has recorded that an upstream crashed before it had answered a request.
+	// responding tells whether it had begun its response.
+	OnCrash   func(responding bool)
 	Budgeter  *budgeter.Budgeter
 	Requester *requester.Requester
 	Log       *logger.Logger
@@ -100,6 +105,12 @@
 
 // New returns a Forwarder.
 func New(cfg Config) *Forwarder {
+	if cfg.Screener == nil {
+		cfg.Screener = screener.New(screener.Config{})
+	}
+	if cfg.OnCrash == nil {
+		cfg.OnCrash = func(bool) {}
+	}
 	if cfg.SharedParts == nil {
 		cfg.SharedParts = func(http.Header) []identifier.PromptPart { return nil }
 	}
@@ -136,8 +147,10 @@
 	grantUntil  time.Time
 	onTimeUntil time.Time
 	body        []byte
-	// parts are those of the prompt that other requests may have in common with this one.
-	parts []identifier.PromptPart
+	// prompt is what the screener needs to know of the request.
+	prompt screener.Prompt
+	// trial is the part of the prompt for which the request is isolated, or empty.
+	trial identifier.PromptPart
 	// lastEventID is the id of the last event that the client received, or empty.
 	lastEventID string
 	// noClientRetry is set if the client is not expected to retry after a refusal: this request is a retry, or its stream
@@ -175,6 +188,7 @@
 		return
 	}
 	f.setDeadlines(c, r)
+	c.prompt.Request = requestPart(c, r)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f.cfg.Budgeter.RecordRequest(c.arrived, c.service)
@@ -196,7 +210,7 @@
 	c.route, c.customer = route, customer
 	c.service = route.Pick(rand.Float64())
 	c.lastEventID = r.Header.Get(f.cfg.Names.LastEvent)
-	c.parts = f.cfg.SharedParts(r.Header)
+	c.prompt = screener.Prompt{Customer: customer.Name, Parts: f.cfg.SharedParts(r.Header)}
 	return 0, ""
 }
 
@@ -256,6 +270,7 @@
 // serve obtains upstreams and sends the request to them until an attempt or a refusal ends it.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
 	s := &stream{writer: w, names: f.cfg.Names, lastEventID: c.lastEventID}
+	defer f.endTrial(c)
 	for {
 		switch d := f.admit(ctx, c).(type) {
 		case admitter.Refused:
@@ -272,13 +287,16 @@
 // admit waits until the admitter assigns an upstream or refuses the request. Once an attempt may have reached an
 // upstream, each further one needs a retry from the budget.
 func (f *Forwarder) admit(ctx context.Context, c *call) admitter.Decision {
-	now := time.Now()
 	if ctx.Err() != nil {
 		return admitter.Refused{Reason: admitter.ReasonDeadline}
 	}
 	if c.unsent >= maxUnsentAttempts {
 		return admitter.Refused{Reason: admitter.ReasonNoUpstream, RetryAfter: defaultRetryAfter}
 	}
+	if refused, is := f.screen(ctx, c); is {
+		return refused
+	}
+	now := time.Now()
 	if c.sends > 0 && !f.cfg.Budgeter.Take(now, c.service) {
 		// The budget recovers as its window moves on, which takes seconds.
 		return admitter.Refused{Reason: ReasonBudget, RetryAfter: time.Until(c.deadline) / admitter.RetryAfterDivisor}
@@ -291,11 +309,12 @@
 		Deadline:      c.deadline,
 		Stream:        c.route.Stream,
 		NoClientRetry: c.noClientRetry,
+		IsolateBy:     string(c.trial),
 		Exclude:       c.tried,
 	})
 	select {
 	case d := <-ticket.Decision():
-		return d
+		return f.screenAgain(c, d)
 	case <-ctx.Done():
 		f.cfg.Admitter.Withdraw(time.Now(), ticket)
 		return admitter.Refused{Reason: admitter.ReasonDeadline}
@@ -312,6 +331,12 @@
 	s.grant = g
 	result := f.send(ctx, r, c, s, g.Upstream)
 	f.cfg.Admitter.Done(time.Now(), g, result.feedback)
+	switch {
+	case result.complete:
+		f.cfg.Screener.RecordAnswer(time.Now(), c.prompt)
+	case result.broke && s.firstByte == 0:
+		f.recordCrash(ctx, c, s, g)
+	}
 	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
 	switch {
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -22,6 +22,7 @@
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
@@ -64,6 +65,7 @@
 type simulation struct {
 	group     *engineGroup
 	admitters []*admitter.Admitter
+	screeners []*screener.Screener
 	handlers  []http.Handler
 	started   time.Time
 	// random draws the requests, and promptRandom the parts of their prompts.
@@ -102,6 +104,7 @@
 		a.SetFleet(time.Now(), fleet)
 		b := budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 92, Window: 10 * time.Second}, gatewayCount)
 		s.admitters = append(s.admitters, a)
+		s.screeners = append(s.screeners, screener.New(screener.Config{Node: identifier.Node(fmt.Sprint("gateway", i)), Incarnation: 1}))
 		s.handlers = append(s.handlers, forwarder.New(forwarder.Config{
 			Names: names,
 			SharedParts: func(h http.Header) []identifier.PromptPart {
@@ -111,8 +114,14 @@
 				}
 				return parts
 			},
-			Fleet:     func() cataloguer.Fleet { return fleet },
-			Admitter:  a,
+			Fleet:    func() cataloguer.Fleet { return fleet },
+			Admitter: a,
+			Screener: s.screeners[i],
+			OnCrash: func(responding bool) {
+				if responding {
+					go s.reportCrashes(i)
+				}
+			},
 			Budgeter:  b,
 			Requester: requester.New(requester.Config{Dial: s.group.dial}),
 			Log:       logger.Discard(),
@@ -141,6 +150,17 @@
 	}
 }
 
+// reportCrashes passes what the screener of one gateway knows to the others.
+func (s *simulation) reportCrashes(reporter int) {
+	report := s.screeners[reporter].Report(time.Now())
+	time.Sleep(2 * time.Millisecond)
+	for i, other := range s.screeners {
+		if i != reporter {
+			other.Merge(time.Now(), report)
+		}
+	}
+}
+
 // runTicks ticks all gateways and passes the number of requests that each runs to the others.
 func (s *simulation) runTicks(ctx context.Context) {
 	reported := make([]map[identifier.Upstream]int, gatewayCount)
@@ -156,6 +176,7 @@
 			a.Tick(time.Now())
 			if (tick+i)%int(reportInterval/tickInterval) == 0 {
 				reported[i] = a.Running()
+				go s.reportCrashes(i)
 			}
 		}
 		for i, a := range s.admitters {
--- /dev/null
+++ b/internal/request/forwarder/screen.go
@@ -0,0 +1,112 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/logger"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/process/waiter"
+	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/request/screener"
+)
+
+const (
+	// trialCheckInterval is the time between two checks whether the trial of another request has ended, and maxTrialWait
+	// the longest wait for that: an upstream begins its response in a few hundred milliseconds.
+	trialCheckInterval = 20 * time.Millisecond
+	maxTrialWait       = 500 * time.Millisecond
+	// crashCheckTimeout bounds the check whether an upstream still listens.
+	crashCheckTimeout = 100 * time.Millisecond
+)
+
+const (
+	// ReasonCrashes means that requests with the same part of a prompt have crashed upstreams.
+	ReasonCrashes admitter.Reason = "crashes"
+	// ReasonTrial means that another request with a suspected part of a prompt is in its trial.
+	ReasonTrial admitter.Reason = "trial"
+)
+
+// requestPart identifies a request as a whole: its customer, target and body.
+func requestPart(c *call, r *http.Request) identifier.PromptPart {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.RequestURI + "\n")
+	_, _ = h.Write(c.body)
+	return identifier.PromptPart(string(c.customer.Name) + "/" + strconv.FormatUint(h.Sum64(), 16))
+}
+
+// screen refuses a request that is known to crash upstreams. One that may crash its upstream waits until no other
+// request with the same part is in its trial.
+func (f *Forwarder) screen(ctx context.Context, c *call) (admitter.Refused, bool) {
+	end := time.Now().Add(maxTrialWait)
+	for {
+		now := time.Now()
+		switch v := f.cfg.Screener.Verdict(now, c.prompt).(type) {
+		case screener.Clear:
+			f.endTrial(c)
+			return admitter.Refused{}, false
+		case screener.Refused:
+			return f.crashRefusal(now, v), true
+		case screener.Isolated:
+			if c.trial == v.Part {
+				return admitter.Refused{}, false
+			}
+			f.endTrial(c)
+			if f.cfg.Screener.BeginTrial(v.Part) {
+				c.trial = v.Part
+				return admitter.Refused{}, false
+			}
+		}
+		if now.After(end) || !waiter.For(ctx, trialCheckInterval) {
+			return admitter.Refused{Reason: ReasonTrial, RetryAfter: maxTrialWait}, true
+		}
+	}
+}
+
+// screenAgain repeats the check for a request that has waited in the queue.
+func (f *Forwarder) screenAgain(c *call, d admitter.Decision) admitter.Decision {
+	granted, is := d.(admitter.Granted)
+	if !is || granted.Waited == 0 {
+		return d
+	}
+	now := time.Now()
+	refused, is := f.cfg.Screener.Verdict(now, c.prompt).(screener.Refused)
+	if !is {
+		return d
+	}
+	f.cfg.Admitter.Done(now, granted, admitter.Cancelled{})
+	return f.crashRefusal(now, refused)
+}
+
+func (f *Forwarder) crashRefusal(now time.Time, r screener.Refused) admitter.Refused {
+	f.cfg.Meter.Increment(meter.GatewayScreened)
+	return admitter.Refused{Reason: ReasonCrashes, RetryAfter: r.Until.Sub(now)}
+}
+
+// endTrial ends the trial of an isolated request.
+func (f *Forwarder) endTrial(c *call) {
+	if c.trial != "" {
+		f.cfg.Screener.EndTrial(c.trial)
+		c.trial = ""
+	}
+}
+
+// recordCrash records an attempt whose connection broke before the response was answered, if the upstream has ended.
+func (f *Forwarder) recordCrash(ctx context.Context, c *call, s *stream, g admitter.Granted) {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	if !f.cfg.Requester.Refuses(ctx, g.Upstream.Address) {
+		return
+	}
+	responding := c.route.Stream && s.head > 0
+	f.cfg.Screener.RecordCrash(time.Now(), c.prompt, responding)
+	f.cfg.Meter.Increment(meter.GatewayCrashes)
+	f.cfg.Log.Event(logger.EventUpstreamCrashed).Str("request", c.id).Str("upstream", string(g.Upstream.ID)).
+		Bool("responding", responding).Strs("parts", partNames(c.prompt.Parts)).Send()
+	f.cfg.OnCrash(responding)
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -191,5 +191,6 @@
 	if s.firstByte == 0 {
 		s.firstByte = now.Sub(sent)
 		f.cfg.Admitter.RecordFirstByte(now, s.grant)
+		f.cfg.Screener.RecordAnswer(now, c.prompt)
 	}
 }
--- /dev/null
+++ b/internal/request/screener/screener_test.go
@@ -0,0 +1,166 @@
+package screener_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/federator"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/screener"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newScreener(node identifier.Node) *screener.Screener {
+	return screener.New(screener.Config{Node: node, Incarnation: 1})
+}
+
+func prompt(customer identifier.Customer, request identifier.PromptPart, parts ...identifier.PromptPart) screener.Prompt {
+	return screener.Prompt{Customer: customer, Parts: parts, Request: request}
+}
+
+func refused(v screener.Verdict) bool {
+	_, is := v.(screener.Refused)
+	return is
+}
+
+// Guards against a second outage by a part that crashed one upstream, and against sound requests refused with it.
+func TestPartThatCrashedAnUpstreamIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	s.RecordAnswer(start, prompt("c", "r0", "subject"))
+	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject", "deadly"), true)
+	now := start.Add(2 * time.Second)
+	require.True(t, refused(s.Verdict(now, prompt("c", "r2", "subject", "deadly"))))
+	require.True(t, refused(s.Verdict(now, prompt("c", "r3", "other", "deadly"))))
+	require.Equal(t, screener.Clear{}, s.Verdict(now, prompt("c", "r4", "subject")))
+	require.Equal(t, screener.Clear{}, s.Verdict(now, prompt("c", "r5")))
+}
+
+// Guards against a sound part that was first used in the crashing request and then refused for good.
+func TestUnknownPartIsClearedByATrial(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	s.RecordCrash(start, prompt("c", "r1", "subject", "deadly"), true)
+	sound := prompt("c", "r2", "subject")
+	isolated, is := s.Verdict(start, sound).(screener.Isolated)
+	require.True(t, is)
+	require.True(t, s.BeginTrial(isolated.Part))
+	require.False(t, s.BeginTrial(isolated.Part), "one trial at a time")
+	s.EndTrial(isolated.Part)
+	s.RecordAnswer(start.Add(time.Second), sound)
+	now := start.Add(2 * time.Second)
+	require.Equal(t, screener.Clear{}, s.Verdict(now, sound))
+	require.True(t, refused(s.Verdict(now, prompt("c", "r3", "another", "deadly"))))
+}
+
+// Guards against a caller that locks out another one by crashing upstreams with the other's part.
+func TestCrashesOfOneCustomerDoNotRefuseOthers(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	for i := range 20 {
+		s.RecordCrash(start.Add(time.Duration(i)*10*time.Second), prompt("attacker", "r", "part"), true)
+	}
+	now := start.Add(201 * time.Second)
+	require.True(t, refused(s.Verdict(now, prompt("attacker", "r2", "part"))))
+	require.IsType(t, screener.Isolated{}, s.Verdict(now, prompt("victim", "r3", "part")))
+	s.RecordCrash(now, prompt("victim", "r3", "part"), true)
+	require.True(t, refused(s.Verdict(now, prompt("third", "r4", "part"))), "two customers' requests have crashed")
+}
+
+// Guards against requests refused because their upstreams crashed for other reasons.
+func TestCrashesBeforeAResponseRefuseOnlyWhenRepeated(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	for i := range 6 {
+		s.RecordCrash(start.Add(time.Duration(i)*100*time.Millisecond), prompt("c", "r", "fresh"), false)
+	}
+	now := start.Add(time.Second)
+	require.Equal(t, screener.Clear{}, s.Verdict(now, prompt("c", "r2", "fresh")), "one outage")
+	s.RecordCrash(start.Add(10*time.Second), prompt("c", "r3", "fresh"), false)
+	require.IsType(t, screener.Isolated{}, s.Verdict(start.Add(11*time.Second), prompt("c", "r4", "fresh")))
+	s.RecordCrash(start.Add(20*time.Second), prompt("c", "r5", "fresh"), false)
+	require.True(t, refused(s.Verdict(start.Add(21*time.Second), prompt("c", "r6", "fresh"))))
+}
+
+// Guards against a request that crashes upstreams as a whole and is sent again.
+func TestRepeatedRequestThatCrashedIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	s.RecordAnswer(start, prompt("c", "r0", "subject"))
+	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject"), true)
+	require.True(t, refused(s.Verdict(start.Add(time.Second), prompt("c", "r1", "subject"))))
+	require.Equal(t, screener.Clear{}, s.Verdict(start.Add(time.Second), prompt("c", "r2", "subject")))
+}
+
+// Guards against a part that becomes deadly although it was answered before.
+func TestAnsweredPartIsSuspectedAfterRepeatedCrashes(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	s.RecordAnswer(start, prompt("c", "r0", "part"))
+	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "part"), true)
+	require.Equal(t, screener.Clear{}, s.Verdict(start.Add(2*time.Second), prompt("c", "r2", "part")))
+	s.RecordCrash(start.Add(8*time.Second), prompt("c", "r2", "part"), true)
+	require.True(t, refused(s.Verdict(start.Add(9*time.Second), prompt("c", "r3", "part"))))
+}
+
+// Guards against gateways that learn of a crash from each other wrongly: several reports of it, and a part that was
+// answered for another gateway only.
+func TestGatewaysShareWhatTheyKnow(t *testing.T) {
+	t.Parallel()
+	a, b := newScreener("a"), newScreener("b")
+	b.RecordAnswer(start, prompt("c", "r0", "subject"))
+	a.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject", "deadly"), true)
+	now := start.Add(1100 * time.Millisecond)
+	require.Len(t, b.Merge(now, a.Report(now)), 1)
+	require.Empty(t, b.Merge(now, a.Report(now)))
+	require.True(t, refused(b.Verdict(now, prompt("c", "r2", "other", "deadly"))))
+	require.IsType(t, screener.Isolated{}, a.Verdict(now, prompt("c", "r3", "subject")))
+	a.Merge(now, b.Report(now))
+	require.Equal(t, screener.Clear{}, a.Verdict(now, prompt("c", "r3", "subject")))
+	require.True(t, refused(a.Verdict(now, prompt("c", "r4", "other", "deadly"))))
+}
+
+// Guards against suspicions that gateways return to each other for ever, and against a refusal that outlasts its time.
+func TestSuspicionsExpire(t *testing.T) {
+	t.Parallel()
+	a, b := newScreener("a"), newScreener("b")
+	a.RecordCrash(start, prompt("c", "r1", "deadly"), true)
+	again := prompt("c", "r2", "deadly")
+	require.True(t, refused(a.Verdict(start.Add(59*time.Second), again)))
+	require.IsType(t, screener.Isolated{}, a.Verdict(start.Add(61*time.Second), again))
+	for now := start; now.Before(start.Add(21 * time.Minute)); now = now.Add(200 * time.Millisecond) {
+		late := now.Add(100 * time.Millisecond)
+		b.Merge(late, delayed(a.Report(now)))
+		a.Merge(late, delayed(b.Report(now)))
+	}
+	require.Equal(t, screener.Clear{}, a.Verdict(start.Add(21*time.Minute), again))
+	require.Empty(t, a.Report(start.Add(21*time.Minute)).Suspicions)
+}
+
+// delayed returns a report as it appears after 100 ms on the network: its times are sent as ages.
+func delayed(r federator.CrashReport) federator.CrashReport {
+	for i := range r.Suspicions {
+		r.Suspicions[i].At = r.Suspicions[i].At.Add(100 * time.Millisecond)
+	}
+	return r
+}
+
+// Guards against state and datagrams that grow with crashes, and against a customer that displaces what is known of
+// another one.
+func TestStateIsBounded(t *testing.T) {
+	t.Parallel()
+	s := newScreener("a")
+	s.RecordCrash(start, prompt("quiet", "r", "deadly"), true)
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		part := identifier.PromptPart(fmt.Sprint("part", i))
+		s.RecordCrash(at, prompt(identifier.Customer(fmt.Sprint("loud", i%3)), part, part), true)
+	}
+	now := start.Add(20 * time.Second)
+	require.LessOrEqual(t, len(s.Report(now).Suspicions), 32)
+	require.True(t, refused(s.Verdict(now, prompt("quiet", "r2", "deadly"))))
+}
