Keep what is learned from crashes over restarts

Cause: a gateway that restarted within a second was not new to its peers, so they sent what they knew up to 230 ms after it was ready; after a restart of all gateways nobody knew it. Class: state that only living processes hold. Change: a restarted peer is reported as changed, so the next datagrams hold everything, and replies to greetings always do. Each gateway writes the crashes that it observed to a row of the store, and reads all rows when it starts and while no peer is live. Evidence: TestCrashingPartIsKnownAfterAllGatewaysRestart and TestRestartOfAPeerIsReported failed before (no table, no event).

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -198,7 +198,7 @@
 		return urgent
 	}
 	f.addHints(now, d)
-	urgent = urgent || previous == nil || previous.Leading != d.State.Leading || previous.Stopping != d.State.Stopping ||
+	urgent = urgent || previous == nil || previous.Incarnation != d.State.Incarnation || previous.Leading != d.State.Leading || previous.Stopping != d.State.Stopping ||
 		previous.Resigned != d.State.Resigned
 	// After a restart of the peer its counts start again and cannot be compared.
 	if previous != nil && previous.Incarnation == d.State.Incarnation {
@@ -235,7 +235,7 @@
 	}
 	peer := &Peer{State: s, ReceivedAt: now}
 	f.peers[s.Node] = peer
-	if previous == nil || previous.Silent {
+	if previous == nil || previous.Silent || previous.Incarnation != s.Incarnation {
 		f.events = append(f.events, PeerChanged{*peer})
 	}
 	if s.Leading {
--- a/internal/connection/federator/federator_test.go
+++ b/internal/connection/federator/federator_test.go
@@ -504,3 +504,22 @@
 	}
 	require.Len(t, member.Summaries(now), domains-1)
 }
+
+// Guards against a gateway that restarts within the time of a few datagrams and is not told what the others know.
+func TestRestartOfAPeerIsReported(t *testing.T) {
+	t.Parallel()
+	f := federator.New(federator.Config{Node: "n1", FailureDomain: "a", Address: "10.0.0.1:1", Incarnation: 1})
+	state := federator.State{
+		Node: "n2", FailureDomain: "a", Address: "10.0.0.2:1", ControlAddress: "10.0.0.2:2", Incarnation: 1, Sequence: 1,
+	}
+	now := time.Unix(1000, 0)
+	f.Receive(now, state.Address, federator.Datagram{State: state})
+	require.Len(t, f.TakeEvents(), 1)
+	state.Sequence = 2
+	f.Receive(now.Add(200*time.Millisecond), state.Address, federator.Datagram{State: state})
+	require.Empty(t, f.TakeEvents())
+	state.Incarnation, state.Sequence = 2, 1
+	_, urgent := f.Receive(now.Add(400*time.Millisecond), state.Address, federator.Datagram{State: state})
+	require.True(t, urgent)
+	require.Len(t, f.TakeEvents(), 1)
+}
--- a/internal/connection/federator/state.go
+++ b/internal/connection/federator/state.go
@@ -131,7 +131,7 @@
 // Event is something that a gateway has learned from others.
 type Event interface{ event() }
 
-// PeerChanged means that a peer appeared, fell silent, or sent again after it was silent.
+// PeerChanged means that a peer appeared, restarted, fell silent, or sent again after it was silent.
 type PeerChanged struct{ Peer Peer }
 
 // GroupOpened means that requests of another gateway showed that the closed group of a service works again.
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -37,8 +37,8 @@
 	Listen string
 	// Seeds are IP addresses of possible peers.
 	Seeds []string
-	// FillState fills in the state to send.
-	FillState func(*federator.State)
+	// FillState fills in the state to send. A complete state also holds what is sent seldom.
+	FillState func(s *federator.State, complete bool)
 	// OnEvent is called with what the gateway learns from others.
 	OnEvent func(federator.Event)
 }
@@ -148,7 +148,8 @@
 // reply answers greetings.
 func (g *Gossiper) reply(addresses []string) {
 	var state federator.State
-	g.cfg.FillState(&state)
+	// Greetings come from gateways that start or were cut off.
+	g.cfg.FillState(&state, true)
 	now := time.Now()
 	for _, address := range addresses {
 		g.mu.Lock()
@@ -170,7 +171,7 @@
 // Broadcast sends a round of datagrams immediately.
 func (g *Gossiper) Broadcast() {
 	var state federator.State
-	g.cfg.FillState(&state)
+	g.cfg.FillState(&state, false)
 	now := time.Now()
 	g.mu.Lock()
 	round := g.federator.Compose(now, state)
--- a/internal/connection/gossiper/gossiper_test.go
+++ b/internal/connection/gossiper/gossiper_test.go
@@ -32,7 +32,7 @@
 		FailureDomain: "a",
 		Listen:        net.JoinHostPort(host, strconv.Itoa(port)),
 		Seeds:         seeds,
-		FillState: func(s *federator.State) {
+		FillState: func(s *federator.State, _ bool) {
 			s.Running = map[identifier.Upstream]int{"u": int(running.Load())}
 			s.Leading = true
 			s.ControlAddress = net.JoinHostPort(host, "80")
--- a/internal/process/gatewayrunner/crash_test.go
+++ b/internal/process/gatewayrunner/crash_test.go
@@ -13,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// streamConfig has one route with streams that may not be resumed.
+const streamConfig = `{"version":1,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"streaming","timeoutMs":4000,"sloMs":400,"service":"s","attempts":2}],"services":[{"name":"s","engine":{}}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`
+
 // crashingUpstream listens until it has begun its first response.
 type crashingUpstream struct {
 	listener net.Listener
@@ -51,7 +54,7 @@
 	u := newCrashingUpstream(t)
 	d.upstreamAddress = u.listener.Addr().String()
 	d.register()
-	d.store.Put("op", "config", `{"version":1,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"streaming","timeoutMs":4000,"sloMs":400,"service":"s","attempts":2}],"services":[{"name":"s","engine":{}}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`)
+	d.store.Put("op", "config", streamConfig)
 	first := d.start(t, "127.0.0.1", 17345, "", d.storeAddress)
 	second := d.start(t, "127.0.0.2", 17345, "127.0.0.1:1", d.storeAddress)
 	for _, g := range []*gateway{first, second} {
@@ -74,3 +77,26 @@
 	require.Equal(t, int32(1), u.requests.Load())
 	require.NotContains(t, third.log.String(), `"customer"`)
 }
+
+// Guards against a fleet that forgets which requests crash upstreams when all gateways restart at the same time.
+func TestCrashingPartIsKnownAfterAllGatewaysRestart(t *testing.T) {
+	d := newDeployment(t)
+	u := newCrashingUpstream(t)
+	d.upstreamAddress = u.listener.Addr().String()
+	d.register()
+	d.store.Put("op", "config", streamConfig)
+	g := d.start(t, "127.0.0.1", 17346, "", d.storeAddress)
+	require.Eventually(t, func() bool { return g.isReady(t) }, timeout, 10*time.Millisecond)
+	code, _ := g.sendPrompt(t, "1", "subject:40,deadly:100,own:200")
+	require.Equal(t, http.StatusBadGateway, code)
+	require.Eventually(t, func() bool { return len(d.store.Keys("crashes")) == 1 }, timeout, time.Millisecond)
+	g.stop()
+	require.NoError(t, <-g.done)
+	g.done <- nil
+	again := d.start(t, "127.0.0.2", 17346, "", d.storeAddress)
+	require.Eventually(t, func() bool { return again.isReady(t) }, timeout, time.Millisecond)
+	code, body := again.sendPrompt(t, "2", "subject:40,deadly:100,another:200")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Contains(t, body, "crashes")
+	require.Equal(t, int32(1), u.requests.Load())
+}
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -83,6 +83,10 @@
 	screener   *screener.Screener
 	// crashNews tells when the peers get what the screener knows.
 	crashNews newsTimer
+	// crashObserved wakes maintainCrashRows after a crash that this gateway has observed.
+	crashObserved chan struct{}
+	// informed is set once the gateway knows what others have learned from crashes; before that it serves no requests.
+	informed  atomic.Bool
 	budgeter  *budgeter.Budgeter
 	requester *requester.Requester
 	gossiper  *gossiper.Gossiper
@@ -133,6 +137,7 @@
 		relayer:       relayer.New(),
 		stopping:      make(chan struct{}),
 		tablesChanged: make(chan struct{}, 1),
+		crashObserved: make(chan struct{}, 1),
 		lastPull:      map[replicator.Table]time.Time{},
 	}
 	g.log = logger.New(logger.Config{
@@ -224,7 +229,7 @@
 }
 
 // fillState fills in the state that the gossiper sends to the peers.
-func (g *gateway) fillState(s *federator.State) {
+func (g *gateway) fillState(s *federator.State, complete bool) {
 	s.ControlAddress = g.settings.ControlAddress
 	s.Running = g.admitter.Running()
 	s.Versions = map[replicator.Table]uint64{
@@ -239,7 +244,7 @@
 		s.Groups = g.groups.states()
 	}
 	s.Stopping = g.isStopping()
-	if now := time.Now(); g.crashNews.due(now) {
+	if now := time.Now(); g.crashNews.due(now) || complete {
 		s.Crashes = g.screener.Report(now)
 	}
 }
@@ -252,6 +257,7 @@
 		g.logPeerChange(e.Peer)
 	case federator.CrashesReported:
 		g.mergeCrashes(e)
+		g.informed.Store(true)
 	case federator.GroupOpened:
 		g.leader.GroupOpened(e.Service)
 		g.admitter.GroupOpened(time.Now(), e.Service)
@@ -270,12 +276,8 @@
 		return
 	}
 	for _, s := range news {
-		parts := make([]string, len(s.Parts))
-		for i, p := range s.Parts {
-			parts[i] = string(p)
-		}
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
-			Bool("responding", s.Responding).Strs("parts", parts).Dur("ageMs", now.Sub(s.At)).Send()
+			Bool("responding", s.Responding).Strs("parts", partNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
 	g.crashNews.add(now)
 	if g.gossiper.IsRelay() {
@@ -286,8 +288,13 @@
 // announceCrash sends a crash that this gateway has observed to the peers, at once if the request to blame is known.
 func (g *gateway) announceCrash(responding bool) {
 	g.crashNews.add(time.Now())
-	if responding {
-		g.gossiper.Broadcast()
+	if !responding {
+		return
+	}
+	g.gossiper.Broadcast()
+	select {
+	case g.crashObserved <- struct{}{}:
+	default:
 	}
 }
 
@@ -326,6 +333,14 @@
 	return g.fleet.Load().Catalogue != nil
 }
 
+// servedFleet returns the configuration and upstreams for clients' requests: none until the gateway is informed.
+func (g *gateway) servedFleet() cataloguer.Fleet {
+	if !g.informed.Load() {
+		return cataloguer.Fleet{}
+	}
+	return *g.fleet.Load()
+}
+
 func (g *gateway) logPeerChange(p federator.Peer) {
 	event := logger.EventPeerLive
 	if p.Silent {
@@ -522,7 +537,7 @@
 	return forwarder.New(forwarder.Config{
 		Names:       platform.HeaderNames(),
 		SharedParts: platform.SharedParts,
-		Fleet:       func() cataloguer.Fleet { return *g.fleet.Load() },
+		Fleet:       g.servedFleet,
 		Admitter:    g.admitter,
 		Screener:    g.screener,
 		OnCrash:     g.announceCrash,
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -53,6 +53,7 @@
 	group.Add(g.applyTables)
 	group.Add(g.tick)
 	group.Add(g.maintainNodeRow)
+	group.Add(g.maintainCrashRows)
 	group.Add(g.leader.RunLease)
 	group.Add(g.leader.Run)
 	group.Add(g.watchSettings(settingsPath))
@@ -68,7 +69,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	ready := g.hasConfiguration() && !g.isStopping()
+	ready := g.servedFleet().Catalogue != nil && !g.isStopping()
 	if g.ready.Swap(ready) != ready {
 		g.log.Event(logger.EventReadyChanged).Bool("ready", ready).Send()
 	}
--- a/internal/standin/storeserver/storeserver.go
+++ b/internal/standin/storeserver/storeserver.go
@@ -110,6 +110,18 @@
 	return out, s.lastVersion
 }
 
+// Keys returns the keys of the rows of a table, in the order of their last writes.
+func (s *Server) Keys(table string) []string {
+	rows, _ := s.rowsAfter(table, 0)
+	var keys []string
+	for _, r := range rows {
+		if !r.Tombstone {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
 // ServeHTTP serves the calls of the store's protocol.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.down.Load() {
