Log the rate limit that an upstream names

Cause: the second incident's hypotheses (docs/incidents/limited-upstream.md) could not be told apart, as no line held the limit.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -97,7 +97,7 @@
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
 	sent := time.Now()
-	s.firstByte, s.head = 0, 0
+	s.firstByte, s.head, s.limit = 0, 0, ""
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -200,6 +200,7 @@
 // returned in the result instead, since a retry may succeed.
 func (f *Forwarder) receive(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time) attemptResult {
 	s.head = time.Since(sent)
+	s.limit = got.Header.Get(f.cfg.Names.Limit)
 	n := f.cfg.Names
 	id := got.Header.Get(n.RequestID)
 	switch {
@@ -313,6 +314,9 @@
 	if s.firstByte > 0 {
 		line = line.Dur("firstByteMs", s.firstByte)
 	}
+	if s.limit != "" {
+		line = line.Str("limitPerS", s.limit)
+	}
 	if !r.complete && s.firstByte == 0 {
 		line = line.Strs("parts", partNames(c.prompt.Parts))
 		if s.head > 0 {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	NotRun string
 	// Load holds the running and waiting requests and the slots of an upstream, separated by commas.
 	Load string
+	// Limit holds the requests a second that an upstream takes from all gateways together, while it is limited.
+	Limit string
 	// LastEvent holds the id of the last event that the client received.
 	LastEvent string
 	// Priority orders requests at an engine, from 0, which is served first, to 9.
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -34,6 +34,8 @@
 	grant admitter.Granted
 	// head is the time from sending the latest attempt to the head of its response, or 0.
 	head time.Duration
+	// limit is the text of the rate limit in the latest response, or empty.
+	limit string
 	// firstByte is the time from sending the latest attempt to the first event of its response, or 0.
 	firstByte time.Duration
 }
