Reproduce upstreams that get more requests than the limit they name

Change: the simulated ranks of the forwarder's load tests name limits; one test limits one rank, one all of them.

--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -414,6 +414,56 @@
 	require.Greater(t, after[outcomeOnTime], 0.95)
 }
 
+// limitLoad runs clients against a group whose first ranks name a limit from 8 to 28 s. It returns the most requests that
+// one of them got within 4 s, from 3 s after the first naming on, and the shares of the outcomes while the limit held and
+// after it.
+func limitLoad(t *testing.T, ranks int, perSecond float64) (most int, during, after map[outcome]float64) {
+	t.Helper()
+	const from, to = 8 * time.Second, 28 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newSimulation(ctx, 1)
+		go func() {
+			time.Sleep(from)
+			s.group.setLimits(ranks, perSecond)
+			time.Sleep(to - from)
+			s.group.setLimits(ranks, 0)
+		}()
+		s.sendRequests(t, 45*time.Second)
+		for r := range ranks {
+			most = max(most, s.group.mostReceived(r, s.started.Add(from+3500*time.Millisecond), s.started.Add(to), 4*time.Second))
+		}
+		during = s.shares(from+3*time.Second, to-clientDeadline/2)
+		after = s.shares(to+12*time.Second, 45*time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	t.Logf("%d ranks with limit %.1f: %d requests within 4 s, during %v, after %v", ranks, perSecond, most, during, after)
+	return most, during, after
+}
+
+// Load: one of 16 ranks names a limit of half of its usual requests. Guards against gateways that ignore the limit, or
+// that each use all of it.
+func TestLimitedUpstreamGetsNoMoreThanItsLimit(t *testing.T) {
+	t.Parallel()
+	most, during, after := limitLoad(t, 1, 2)
+	require.LessOrEqual(t, most, 17, "1.5 times the limit, and 5")
+	require.GreaterOrEqual(t, most, 6, "the limit is used")
+	require.Greater(t, during[outcomeOnTime], 0.95)
+	require.Greater(t, after[outcomeOnTime], 0.95)
+}
+
+// Load: all ranks name limits that allow 48 of 75 requests a second. Guards against requests that wait although they
+// cannot be served, and against shares of the limits that stay unused.
+func TestLimitsOfAllUpstreamsAreUsed(t *testing.T) {
+	t.Parallel()
+	most, during, after := limitLoad(t, rankCount, 3)
+	require.LessOrEqual(t, most, 23, "1.5 times the limit, and 5")
+	require.Greater(t, during[outcomeOnTime]+during[outcomeLate], 0.55)
+	require.Greater(t, during[outcomeOnTime], 0.4)
+	require.Greater(t, after[outcomeOnTime], 0.95)
+}
+
 // Load: a group opens just after a client whose stream broke has sent its retry. Guards against a refusal of the retry,
 // since the client does not retry again.
 func TestBrokenStreamOfRetryingClientIsResumed(t *testing.T) {
