Keep to the rate limits that upstreams name

Upstreams saw: 3 to 8 requests a second from seven gateways although their responses named limits of 1.8 to 2.7; callers saw nothing. Cause: no gateway read the field. Class: a bound that holds for the whole fleet and that nobody divides. Change: request/limiter (no I/O) spaces a gateway's requests to a limited upstream by its share of the demand. A slot that is not used in 0.5 s is lost, so that many idle gateways do not save up a burst, and is kept for requests that can be on time for 0.25 s. The latest response counts, whichever gateway got it; limits, their ends and the demand travel in the datagrams, and the end is remembered for a minute against gateways that were suspended. Slots of limited upstreams that cannot be filled no longer count in the estimates by which requests are refused.

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -160,6 +160,9 @@
 	if len(s.Crashes.Suspicions) > 0 {
 		f.events = append(f.events, CrashesReported{Peer: s.Node, Report: s.Crashes})
 	}
+	if len(s.Limits) > 0 {
+		f.events = append(f.events, LimitsReported{Peer: s.Node, Limits: s.Limits})
+	}
 	if s.FailureDomain == f.cfg.FailureDomain {
 		return nil, f.receiveOwn(now, d) && f.IsRelay()
 	}
@@ -499,6 +502,7 @@
 	s := Summary{
 		FailureDomain: f.cfg.FailureDomain, Relay: f.cfg.Node, Address: f.cfg.Address, ControlAddress: own.ControlAddress,
 		MadeAt: now, Versions: own.Versions, Running: map[identifier.Upstream]int{}, Opened: map[identifier.Service]time.Time{},
+		Demand: map[identifier.Service]float64{},
 	}
 	s.add(Peer{State: own, ReceivedAt: now})
 	for _, p := range f.peers {
@@ -533,6 +537,9 @@
 	for id, n := range p.Running {
 		s.Running[id] += n
 	}
+	for service, perSecond := range p.Demand {
+		s.Demand[service] += perSecond
+	}
 	if at := p.LastStoreResponse(); at.After(s.StoreRespondedAt) {
 		s.StoreRespondedAt = at
 	}
--- a/internal/connection/federator/state.go
+++ b/internal/connection/federator/state.go
@@ -41,6 +41,10 @@
 	Resigned uint64
 	// Crashes is what the gateway knows of requests that crash upstreams; empty in most datagrams.
 	Crashes CrashReport
+	// Limits holds the rate limits of upstreams; empty in most datagrams.
+	Limits map[identifier.Upstream]UpstreamLimit
+	// Demand holds the gateway's rate of requests a second for each service that has limited upstreams.
+	Demand map[identifier.Service]float64
 	// Peers are datagram addresses of other gateways.
 	Peers []string
 }
@@ -95,6 +99,8 @@
 	Usable int
 	// Running sums the running requests of the live gateways on each upstream.
 	Running map[identifier.Upstream]int
+	// Demand sums the rates of requests a second of the live gateways for each service that has limited upstreams.
+	Demand map[identifier.Service]float64
 	// Versions holds the highest row version of each table at the relay.
 	Versions map[replicator.Table]uint64
 	// Leader is set if a gateway of the domain leads.
--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -13,27 +13,29 @@
 
 // wireState is the CBOR form of a State.
 type wireState struct {
-	Node           string            `cbor:"node"`
-	FailureDomain  string            `cbor:"failureDomain"`
-	LinkMbps       float64           `cbor:"linkMbps,omitempty"`
-	Address        string            `cbor:"address"`
-	ControlAddress string            `cbor:"control"`
-	Incarnation    uint64            `cbor:"incarnation"`
-	Sequence       uint64            `cbor:"sequence"`
-	Versions       map[string]uint64 `cbor:"versions"`
-	Running        map[string]int    `cbor:"running"`
-	Stopping       bool              `cbor:"stopping,omitempty"`
-	Leading        bool              `cbor:"leading,omitempty"`
-	Groups         map[string]bool   `cbor:"groups,omitempty"`
-	GroupsOpened   map[string]uint64 `cbor:"opened,omitempty"`
-	StoreLost      bool              `cbor:"storeLost,omitempty"`
-	StoreAgeMs     uint64            `cbor:"storeAgeMs,omitempty"`
-	Resigned       uint64            `cbor:"resigned,omitempty"`
-	Crashes        []wireSuspicion   `cbor:"crashes,omitempty"`
-	AnsweredAgesMs map[string]int64  `cbor:"answeredAgesMs,omitempty"`
-	Peers          []string          `cbor:"peers,omitempty"`
-	Summaries      []wireSummary     `cbor:"summaries,omitempty"`
-	Relays         []wireContact     `cbor:"relays,omitempty"`
+	Node           string               `cbor:"node"`
+	FailureDomain  string               `cbor:"failureDomain"`
+	LinkMbps       float64              `cbor:"linkMbps,omitempty"`
+	Address        string               `cbor:"address"`
+	ControlAddress string               `cbor:"control"`
+	Incarnation    uint64               `cbor:"incarnation"`
+	Sequence       uint64               `cbor:"sequence"`
+	Versions       map[string]uint64    `cbor:"versions"`
+	Running        map[string]int       `cbor:"running"`
+	Stopping       bool                 `cbor:"stopping,omitempty"`
+	Leading        bool                 `cbor:"leading,omitempty"`
+	Groups         map[string]bool      `cbor:"groups,omitempty"`
+	GroupsOpened   map[string]uint64    `cbor:"opened,omitempty"`
+	StoreLost      bool                 `cbor:"storeLost,omitempty"`
+	StoreAgeMs     uint64               `cbor:"storeAgeMs,omitempty"`
+	Resigned       uint64               `cbor:"resigned,omitempty"`
+	Crashes        []wireSuspicion      `cbor:"crashes,omitempty"`
+	AnsweredAgesMs map[string]int64     `cbor:"answeredAgesMs,omitempty"`
+	Limits         map[string]wireLimit `cbor:"limits,omitempty"`
+	Demand         map[string]float64   `cbor:"demand,omitempty"`
+	Peers          []string             `cbor:"peers,omitempty"`
+	Summaries      []wireSummary        `cbor:"summaries,omitempty"`
+	Relays         []wireContact        `cbor:"relays,omitempty"`
 }
 
 // wireSuspicion is the CBOR form of a Suspicion. Its time is sent as its age.
@@ -48,6 +50,13 @@
 	Responding  bool     `cbor:"responding,omitempty"`
 }
 
+// wireLimit is the CBOR form of an UpstreamLimit. Its time is sent as its age.
+type wireLimit struct {
+	Limited   bool    `cbor:"limited,omitempty"`
+	PerSecond float64 `cbor:"perSecond,omitempty"`
+	AgeMs     int64   `cbor:"ageMs"`
+}
+
 // wireContact is the CBOR form of a Contact.
 type wireContact struct {
 	Address       string `cbor:"address"`
@@ -56,18 +65,19 @@
 
 // wireSummary is the CBOR form of a Summary. Times are sent as their ages.
 type wireSummary struct {
-	FailureDomain  string            `cbor:"failureDomain"`
-	Relay          string            `cbor:"relay"`
-	Address        string            `cbor:"address"`
-	ControlAddress string            `cbor:"control"`
-	AgeMs          int64             `cbor:"ageMs"`
-	Known          int               `cbor:"known"`
-	Live           int               `cbor:"live"`
-	Usable         int               `cbor:"usable"`
-	Running        map[string]int    `cbor:"running"`
-	Versions       map[string]uint64 `cbor:"versions"`
-	Leader         *wireLeader       `cbor:"leader,omitempty"`
-	OpenedAgesMs   map[string]int64  `cbor:"openedAgesMs,omitempty"`
+	FailureDomain  string             `cbor:"failureDomain"`
+	Relay          string             `cbor:"relay"`
+	Address        string             `cbor:"address"`
+	ControlAddress string             `cbor:"control"`
+	AgeMs          int64              `cbor:"ageMs"`
+	Known          int                `cbor:"known"`
+	Live           int                `cbor:"live"`
+	Usable         int                `cbor:"usable"`
+	Running        map[string]int     `cbor:"running"`
+	Versions       map[string]uint64  `cbor:"versions"`
+	Leader         *wireLeader        `cbor:"leader,omitempty"`
+	OpenedAgesMs   map[string]int64   `cbor:"openedAgesMs,omitempty"`
+	Demand         map[string]float64 `cbor:"demand,omitempty"`
 	// StoreAgeMs is -1 if the store never responded.
 	StoreAgeMs int64    `cbor:"storeAgeMs"`
 	Resigned   []uint64 `cbor:"resigned,omitempty"`
@@ -100,9 +110,16 @@
 		StoreLost:      s.StoreLost,
 		StoreAgeMs:     uint64(s.StoreAge.Milliseconds()),
 		Resigned:       s.Resigned,
+		Demand:         convert[string](s.Demand),
 		Peers:          s.Peers,
 	}
 	w.Crashes, w.AnsweredAgesMs = encodeCrashes(now, s.Crashes)
+	if len(s.Limits) > 0 {
+		w.Limits = make(map[string]wireLimit, len(s.Limits))
+		for id, l := range s.Limits {
+			w.Limits[string(id)] = wireLimit{Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: now.Sub(l.At).Milliseconds()}
+		}
+	}
 	for _, c := range d.Relays {
 		w.Relays = append(w.Relays, wireContact{Address: c.Address, FailureDomain: string(c.FailureDomain)})
 	}
@@ -159,6 +176,7 @@
 		Live:           s.Live,
 		Usable:         s.Usable,
 		Running:        convert[string](s.Running),
+		Demand:         convert[string](s.Demand),
 		Versions:       convert[string](s.Versions),
 		OpenedAgesMs:   map[string]int64{},
 		StoreAgeMs:     -1,
@@ -202,10 +220,17 @@
 			StoreLost:      w.StoreLost,
 			StoreAge:       time.Duration(w.StoreAgeMs) * time.Millisecond,
 			Resigned:       w.Resigned,
+			Demand:         convert[identifier.Service](w.Demand),
 			Peers:          w.Peers,
 		},
 	}
 	d.State.Crashes = decodeCrashes(now, w)
+	if len(w.Limits) > 0 {
+		d.State.Limits = make(map[identifier.Upstream]federator.UpstreamLimit, len(w.Limits))
+		for id, l := range w.Limits {
+			d.State.Limits[identifier.Upstream(id)] = federator.UpstreamLimit{Limited: l.Limited, PerSecond: l.PerSecond, At: before(now, l.AgeMs)}
+		}
+	}
 	for _, c := range w.Relays {
 		d.Relays = append(d.Relays, federator.Contact{Address: c.Address, FailureDomain: identifier.FailureDomain(c.FailureDomain)})
 	}
@@ -226,6 +251,7 @@
 		Live:           w.Live,
 		Usable:         w.Usable,
 		Running:        convert[identifier.Upstream](w.Running),
+		Demand:         convert[identifier.Service](w.Demand),
 		Versions:       convert[replicator.Table](w.Versions),
 		Opened:         map[identifier.Service]time.Time{},
 		Resigned:       w.Resigned,
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -81,8 +81,8 @@
 	replicator *replicator.Replicator
 	admitter   *admitter.Admitter
 	screener   *screener.Screener
-	// crashNews tells when the peers get what the screener knows.
-	crashNews newsTimer
+	// news tells when the peers get what is known of crashes and rate limits.
+	news newsTimer
 	// crashObserved wakes maintainCrashRows after a crash that this gateway has observed.
 	crashObserved chan struct{}
 	// informed is set once the gateway knows what others have learned from crashes; before that it serves no requests.
@@ -244,8 +244,12 @@
 		s.Groups = g.groups.states()
 	}
 	s.Stopping = g.isStopping()
-	if now := time.Now(); g.crashNews.due(now) || complete {
+	now := time.Now()
+	limits, demand := g.admitter.Limits(now)
+	s.Demand = demand
+	if g.news.due(now) || complete {
 		s.Crashes = g.screener.Report(now)
+		s.Limits = limits
 	}
 }
 
@@ -253,11 +257,13 @@
 func (g *gateway) handlePeerEvent(e federator.Event) {
 	switch e := e.(type) {
 	case federator.PeerChanged:
-		g.crashNews.add(time.Now())
+		g.news.add(time.Now())
 		g.logPeerChange(e.Peer)
 	case federator.CrashesReported:
 		g.mergeCrashes(e)
 		g.informed.Store(true)
+	case federator.LimitsReported:
+		g.mergeLimits(e)
 	case federator.GroupOpened:
 		g.leader.GroupOpened(e.Service)
 		g.admitter.GroupOpened(time.Now(), e.Service)
@@ -279,7 +285,7 @@
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
 			Bool("responding", s.Responding).Strs("parts", partNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
-	g.crashNews.add(now)
+	g.news.add(now)
 	if g.gossiper.IsRelay() {
 		g.gossiper.Broadcast()
 	}
@@ -287,7 +293,7 @@
 
 // announceCrash sends a crash that this gateway has observed to the peers, at once if the request to blame is known.
 func (g *gateway) announceCrash(responding bool) {
-	g.crashNews.add(time.Now())
+	g.news.add(time.Now())
 	if !responding {
 		return
 	}
@@ -298,6 +304,29 @@
 	}
 }
 
+// mergeLimits applies the rate limits that another gateway knows.
+func (g *gateway) mergeLimits(e federator.LimitsReported) {
+	now := time.Now()
+	for _, id := range g.admitter.MergeLimits(now, e.Limits) {
+		g.news.add(now)
+		g.logLimit(id, e.Limits[id], e.Peer)
+	}
+}
+
+// announceLimit logs that the rate limit of an upstream has changed and sends it to the peers.
+func (g *gateway) announceLimit(id identifier.Upstream) {
+	now := time.Now()
+	limits, _ := g.admitter.Limits(now)
+	g.logLimit(id, limits[id], g.settings.Node)
+	g.news.add(now)
+	g.gossiper.Broadcast()
+}
+
+func (g *gateway) logLimit(id identifier.Upstream, l federator.UpstreamLimit, source identifier.Node) {
+	g.log.Event(logger.EventUpstreamRateChanged).Str("upstream", string(id)).Bool("limited", l.Limited).
+		Float64("limitPerS", l.PerSecond).Str("observer", string(source)).Dur("ageMs", time.Since(l.At)).Send()
+}
+
 // countPeers updates the number of requests that the other gateways run on each upstream and the number of gateways that
 // share the limits.
 func (g *gateway) countPeers(now time.Time) {
@@ -307,20 +336,31 @@
 			running[id] += n
 		}
 	}
-	gateways := 1
+	demand := map[identifier.Service]float64{}
+	addDemand := func(rates map[identifier.Service]float64) {
+		for s, perSecond := range rates {
+			demand[s] += perSecond
+		}
+	}
+	gateways, live := 1, 0
 	for _, p := range g.domainPeers() {
 		gateways++
 		if !p.Silent {
+			live++
 			add(p.Running)
+			addDemand(p.Demand)
 		}
 	}
 	for _, s := range g.gossiper.Summaries() {
 		gateways += s.Known
 		if !s.IsSilent(now) {
+			live += s.Live
 			add(s.Running)
+			addDemand(s.Demand)
 		}
 	}
 	g.admitter.SetPeerRunning(now, running)
+	g.admitter.SetPeerDemand(demand, live)
 	if !g.hasConfiguration() {
 		gateways = max(gateways, assumedGateways)
 	}
@@ -535,16 +575,17 @@
 
 func (g *gateway) clientHandler() http.Handler {
 	return forwarder.New(forwarder.Config{
-		Names:       platform.HeaderNames(),
-		SharedParts: platform.SharedParts,
-		Fleet:       g.servedFleet,
-		Admitter:    g.admitter,
-		Screener:    g.screener,
-		OnCrash:     g.announceCrash,
-		Budgeter:    g.budgeter,
-		Requester:   g.requester,
-		Log:         g.log,
-		Meter:       g.meter,
-		Stopping:    g.stopping,
+		Names:         platform.HeaderNames(),
+		SharedParts:   platform.SharedParts,
+		Fleet:         g.servedFleet,
+		Admitter:      g.admitter,
+		Screener:      g.screener,
+		OnCrash:       g.announceCrash,
+		OnLimitChange: g.announceLimit,
+		Budgeter:      g.budgeter,
+		Requester:     g.requester,
+		Log:           g.log,
+		Meter:         g.meter,
+		Stopping:      g.stopping,
 	})
 }
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -69,6 +69,7 @@
 	EventGroupUnreadable      Event = 726
 	EventUpstreamCrashed      Event = 727
 	EventCrashReported        Event = 728
+	EventUpstreamRateChanged  Event = 729
 	EventLinesDropped         Event = 730
 	EventSettingsReloaded     Event = 731
 	EventSeedInvalid          Event = 732
@@ -137,6 +138,7 @@
 	EventDemandShifted:        {zerolog.InfoLevel, "demand for experts shifted"},
 	EventUpstreamCrashed:      {zerolog.WarnLevel, "upstream crashed before it answered a request"},
 	EventCrashReported:        {zerolog.InfoLevel, "crash of an upstream learned from a peer"},
+	EventUpstreamRateChanged:  {zerolog.InfoLevel, "rate limit of an upstream changed"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -5,6 +5,7 @@
 //     Retry-After.
 //   - A group opens and every gateway has a backlog: the requests that wait for their first byte are limited, free slots
 //     are divided among the gateways, and some slots are reserved for requests that can still be on time.
+//   - Upstreams name rate limits: the gateways divide them by their demand.
 //   - Upstreams fail, slow down or start cold: other upstreams are preferred.
 //
 // The package does no I/O and reads no clock: callers pass the current time.
@@ -17,6 +18,7 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/limiter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
@@ -89,6 +91,9 @@
 	expectedOutage time.Duration
 	window         startWindow
 	allotment      allotment
+	// demand is the rate of requests at this gateway, and peerDemand that at others.
+	demand     demand
+	peerDemand peerDemand
 }
 
 // Config sets up an Admitter.
@@ -116,6 +121,7 @@
 	evacuated map[identifier.FailureDomain]bool
 	upstreams map[identifier.Upstream]*upstream
 	services  map[identifier.Service]*service
+	limiter   *limiter.Limiter
 	// pendingNotifications are calls that unlock makes once the lock is released.
 	pendingNotifications []func()
 }
@@ -133,6 +139,7 @@
 		gateways:  1,
 		upstreams: map[identifier.Upstream]*upstream{},
 		services:  map[identifier.Service]*service{},
+		limiter:   limiter.New(limiter.Config{Draw: cfg.Draw}),
 	}
 }
 
@@ -180,6 +187,7 @@
 		}
 	}
 	markSuperseded(a.upstreams)
+	a.limiter.Retain(now, func(id identifier.Upstream) bool { return a.upstreams[id] != nil })
 	a.dispatch(now)
 }
 
@@ -233,6 +241,7 @@
 	a.serial++
 	t := &Ticket{request: request, arrived: now, serial: a.serial, decided: make(chan Decision, 1)}
 	s := a.service(request.Service)
+	s.demand.record(now)
 	at := s.insertPosition(now, t)
 	if !slices.ContainsFunc(s.queue[:at], func(ahead *Ticket) bool { return !ahead.isIsolated() }) && a.grant(now, s, t) {
 		return t
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -55,7 +55,7 @@
 		u.limit = 0
 		if a.usable(u) {
 			usable = append(usable, u)
-			total += u.Slots
+			total += a.usableSlots(s, u)
 		}
 	}
 	share := 1 / float64(a.gateways)
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -14,14 +14,14 @@
 func (a *Admitter) choose(now time.Time, s *service, request Request) *upstream {
 	if request.IsolateBy != "" {
 		u := a.isolationUpstream(request)
-		if u == nil || !a.accepts(now, s, u) {
+		if u == nil || !a.accepts(now, s, u, request) {
 			return nil
 		}
 		return u
 	}
 	var accepting []*upstream
 	for _, u := range a.upstreams {
-		if u.Service == request.Service && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u) {
+		if u.Service == request.Service && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u, request) {
 			accepting = append(accepting, u)
 		}
 	}
@@ -59,8 +59,8 @@
 }
 
 // accepts reports whether an upstream can accept one more request now: it has a free slot within this gateway's
-// allotment, no backoff, and, if it is cold, its rate limit allows a request.
-func (a *Admitter) accepts(now time.Time, s *service, u *upstream) bool {
+// allotment, no backoff, and its rate limit allows a request, if it has one or is cold.
+func (a *Admitter) accepts(now time.Time, s *service, u *upstream, request Request) bool {
 	full := u.running+u.peerRunning >= u.Slots
 	if !s.allotment.computedAt.IsZero() {
 		full = u.running >= u.limit
@@ -68,6 +68,9 @@
 	if full || now.Before(u.backoffUntil) {
 		return false
 	}
+	if !a.limiter.Allows(now, u.ID, a.demandShare(now, s), !now.Before(request.OnTimeUntil)) {
+		return false
+	}
 	return !now.Before(u.coldUntil) || s.ColdPerSecond <= 0 || !now.Before(u.coldPacer.nextSend)
 }
 
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -90,6 +90,7 @@
 	if isStart {
 		s.window.starting++
 	}
+	a.limiter.Take(best.ID, a.demandShare(now, s))
 	best.coldPacer.nextSend = now.Add(a.coldInterval(s))
 	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, firstByte: &firstByteWait{pending: isStart, since: now}})
 	return true
@@ -108,7 +109,7 @@
 	for _, u := range a.upstreams {
 		if u.Service == s.Name && a.usable(u) && !t.request.Exclude[u.ID] {
 			usable++
-			slots += u.Slots
+			slots += a.usableSlots(s, u)
 		}
 	}
 	if usable == 0 {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -208,6 +209,11 @@
 		return attemptResult{feedback: admitter.Failed{}, detail: "answer belongs to another request"}
 	case got.Status == http.StatusMisdirectedRequest:
 		return attemptResult{feedback: admitter.Replaced{}, notRun: true, detail: "another upstream has the address"}
+	}
+	if id == c.id {
+		f.recordLimit(s)
+	}
+	switch {
 	case got.Header.Get(n.NotRun) != "":
 		return f.rejectedResult(got)
 	case id != c.id:
@@ -238,6 +244,20 @@
 	return attemptResult{feedback: f.servedFeedback(got, sent, time.Since(sent)), complete: true}
 }
 
+// recordLimit passes the rate limit that the latest response names to the admitter. An invalid one says nothing.
+func (f *Forwarder) recordLimit(s *stream) {
+	perSecond := 0.0
+	if s.limit != "" {
+		var err error
+		if perSecond, err = strconv.ParseFloat(s.limit, 64); err != nil || !(perSecond >= 0 && perSecond < math.MaxInt32) {
+			return
+		}
+	}
+	if f.cfg.Admitter.RecordLimit(time.Now(), s.grant.Upstream.ID, s.limit != "", perSecond) {
+		f.cfg.OnLimitChange(s.grant.Upstream.ID)
+	}
+}
+
 // servedFeedback returns the feedback for a complete response.
 func (f *Forwarder) servedFeedback(got *requester.Response, sent time.Time, firstByte time.Duration) admitter.Feedback {
 	f.firstByteTimes.Observe(firstByte)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -86,11 +86,13 @@
 	Screener *screener.Screener
 	// OnCrash is called once the screener has recorded that an upstream crashed before it had answered a request.
 	// responding tells whether it had begun its response.
-	OnCrash   func(responding bool)
-	Budgeter  *budgeter.Budgeter
-	Requester *requester.Requester
-	Log       *logger.Logger
-	Meter     *meter.Meter
+	OnCrash func(responding bool)
+	// OnLimitChange is called once the admitter has recorded that the rate limit of an upstream has changed.
+	OnLimitChange func(identifier.Upstream)
+	Budgeter      *budgeter.Budgeter
+	Requester     *requester.Requester
+	Log           *logger.Logger
+	Meter         *meter.Meter
 	// Stopping is closed when the process begins to stop. Responses then close their connections.
 	Stopping <-chan struct{}
 }
@@ -113,6 +115,9 @@
 	if cfg.OnCrash == nil {
 		cfg.OnCrash = func(bool) {}
 	}
+	if cfg.OnLimitChange == nil {
+		cfg.OnLimitChange = func(identifier.Upstream) {}
+	}
 	if cfg.SharedParts == nil {
 		cfg.SharedParts = func(http.Header) []identifier.PromptPart { return nil }
 	}
