Notice within 1.3 s that the store has fallen silent for the gateways that follow it

Cause: a silent store was noticed 3 s after the last call, 1.5 s of long polling and 1.5 s of margin, and only then another gateway followed. Change: long polls last 0.8 s and get a margin of 0.5 s, and a gateway tells its peers at once that the store is lost. Evidence: TestConfigurationIsAppliedWhenTheFollowersStoreFallsSilent failed before.

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -202,7 +202,7 @@
 	}
 	f.addHints(now, d)
 	urgent = urgent || previous == nil || previous.Incarnation != d.State.Incarnation || previous.Leading != d.State.Leading || previous.Stopping != d.State.Stopping ||
-		previous.Resigned != d.State.Resigned
+		previous.Resigned != d.State.Resigned || previous.StoreLost != d.State.StoreLost
 	// After a restart of the peer its counts start again and cannot be compared.
 	if previous != nil && previous.Incarnation == d.State.Incarnation {
 		for s, n := range d.State.GroupsOpened {
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -563,6 +563,7 @@
 		Table:          t,
 		DeferDeletions: deferDeletions,
 		ShouldFollow:   g.shouldFollow,
+		OnStoreLost:    func() { g.gossiper.Broadcast() },
 		Log:            g.log,
 		Meter:          g.meter,
 	})
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -25,13 +25,20 @@
 
 const timeout = 10 * time.Second
 
-// storeProxy passes calls on to the store. While it is unavailable it rejects them.
+// storeProxy passes calls on to the store. While it is unavailable it rejects them; while it is silent they get no
+// response.
 type storeProxy struct {
 	store       *storeserver.Server
 	unavailable atomic.Bool
+	silent      atomic.Bool
 }
 
 func (p *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if p.silent.Load() {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
 	if p.unavailable.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -293,6 +300,33 @@
 	require.Equal(t, http.StatusNotFound, code)
 }
 
+// Guards against a new configuration that is not in force within 2 s, since the store has just fallen silent for the only
+// gateway that follows it.
+func TestConfigurationIsAppliedWhenTheFollowersStoreFallsSilent(t *testing.T) {
+	d := newDeployment(t)
+	d.register()
+	d.configure(1, "/a/")
+	proxy := &storeProxy{store: d.store}
+	server := httptest.NewServer(proxy)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	first := d.start(t, "127.0.0.1", 17348, "", strings.TrimPrefix(server.URL, "http://"))
+	second := d.start(t, "127.0.0.2", 17348, "127.0.0.1:1", d.storeAddress)
+	for _, g := range []*gateway{first, second} {
+		require.Eventually(t, func() bool { return g.isReady(t) }, timeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), "peer gateway is live") }, timeout, 10*time.Millisecond)
+	}
+	// Only the first gateway follows the store once the second one's last call has ended.
+	time.Sleep(2 * time.Second)
+	proxy.silent.Store(true)
+	server.CloseClientConnections()
+	time.Sleep(50 * time.Millisecond)
+	d.configure(2, "/b/")
+	for _, g := range []*gateway{second, first} {
+		require.Eventually(t, func() bool { code, _ := g.send(t, "/b/", "1"); return code == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
+	}
+}
+
 // Guards against gateways that continue to refuse requests for a closed group after a request of another gateway has
 // shown that the group works again.
 func TestGroupOpeningIsGossipedToPeers(t *testing.T) {
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -16,10 +16,9 @@
 )
 
 const (
-	// longPollTimeout is how long the store may delay its response if there are no changes. A dead connection is noticed
-	// after this time plus the timeout of a call; the sum has to stay below the time within which a configuration has to
-	// take effect.
-	longPollTimeout = 1500 * time.Millisecond
+	// longPollTimeout is how long the store may delay its response if there are no changes. A silent store is noticed 0.5 s
+	// after that. Another process then follows it, and a configuration has to take effect within 2 s.
+	longPollTimeout = 800 * time.Millisecond
 	// callInterval is the time between two calls, so that changes in quick succession arrive in one response.
 	callInterval = 120 * time.Millisecond
 	// minBackoff and maxBackoff bound the time before the next call after a failed one.
@@ -52,8 +51,10 @@
 	ShouldFollow func() bool
 	// DeferDeletions is set for tables whose rows expire during an outage of the platform.
 	DeferDeletions bool
-	Log            *logger.Logger
-	Meter          *meter.Meter
+	// OnStoreLost is called when the store no longer responds, so that another process follows it at once.
+	OnStoreLost func()
+	Log         *logger.Logger
+	Meter       *meter.Meter
 }
 
 // Follower follows one table.
@@ -77,6 +78,9 @@
 
 // New returns a Follower that starts with a full read.
 func New(cfg Config) *Follower {
+	if cfg.OnStoreLost == nil {
+		cfg.OnStoreLost = func() {}
+	}
 	return &Follower{cfg: cfg, needsFullRead: true, lastCurrent: time.Now()}
 }
 
@@ -174,6 +178,7 @@
 	if f.failing.CompareAndSwap(false, true) {
 		f.cfg.Log.Event(logger.EventStoreUnavailable).Str("table", string(f.cfg.Table)).AnErr("error", err).
 			Uint64("version", f.version).Send()
+		f.cfg.OnStoreLost()
 	}
 	return min(minBackoff<<min(f.failures, 8), maxBackoff)
 }
