Cancel requests in flight whose prompt has crashed an upstream of another group

Cause: a verdict was only taken before a request was sent; one that had been sent ran on. Change: the screener watches requests that are sent and not answered, and cancels those that a new suspicion refuses. They end as requests that may have run. Evidence: TestRequestInFlightIsCancelledOnceItsPromptCrashesUpstreams (new; the cancelled attempt is not recorded as a crash).

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -92,6 +92,12 @@
 	defer cancel()
 	s.stall = newStallTimer(stallTimeout(c.route), cancel)
 	defer s.stall.stop()
+	s.screened.Store(false)
+	s.endWatch = f.cfg.Screener.Watch(c.prompt, func() {
+		s.screened.Store(true)
+		cancel()
+	})
+	defer s.endWatch()
 	if timeout := f.responseTimeout(c); timeout > 0 {
 		timer := time.AfterFunc(timeout, cancel)
 		defer timer.Stop()
@@ -155,6 +161,8 @@
 	case errors.Is(err, requester.ErrTooLarge), errors.Is(err, errEventTooLarge):
 		f.cfg.Meter.Increment(meter.GatewayOversized)
 		out.detail = "response too large"
+	case s.screened.Load():
+		out.feedback, out.detail = admitter.Cancelled{}, "cancelled, since its prompt crashes upstreams"
 	case s.stall.fired():
 		out.detail = "no event in time"
 	default:
--- a/internal/request/forwarder/crash_test.go
+++ b/internal/request/forwarder/crash_test.go
@@ -9,8 +9,12 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/federator"
+	"currantledge.example/currantledge/internal/process/identifier"
 )
 
 // headOnly sends the head of a stream and closes the connection, as an upstream does that crashes when it begins to
@@ -54,3 +58,27 @@
 	require.Contains(t, body, "data: e2")
 	require.NotContains(t, f.log.String(), `"event":727`)
 }
+
+// Guards against a second group that a request crashes after another gateway has learned which part of its prompt crashed
+// the first one.
+func TestRequestInFlightIsCancelledOnceItsPromptCrashesUpstreams(t *testing.T) {
+	t.Parallel()
+	received, closed := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(c net.Conn, _ *http.Request, _ string) {
+		close(received)
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	responses := make(chan int, 1)
+	go func() {
+		status, _, _, _ := f.send(t, "/stream/", func(q *http.Request) { q.Header.Set("Parts", "deadly") })
+		responses <- status
+	}()
+	<-received
+	f.screener.Merge(time.Now(), federator.CrashReport{Suspicions: []federator.Suspicion{{
+		Node: "other", Sequence: 1, At: time.Now(), Customer: "customer", Parts: []identifier.PromptPart{"deadly"}, Responding: true,
+	}}})
+	<-closed
+	require.Equal(t, http.StatusBadGateway, <-responses)
+	require.NotContains(t, f.log.String(), `"event":727`)
+}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
@@ -43,6 +44,7 @@
 	requests []*http.Request
 	bodies   []string
 	log      lockedBuffer
+	screener *screener.Screener
 	fleet    atomic.Pointer[cataloguer.Fleet]
 }
 
@@ -75,7 +77,7 @@
 
 func newFixtureWithDialer(t *testing.T, dial dialer, responders ...responder) *fixture {
 	t.Helper()
-	f := &fixture{}
+	f := &fixture{screener: screener.New(screener.Config{})}
 	service := identifier.Service("s")
 	route := func(prefix string, r cataloguer.RetryPolicy, stream bool) cataloguer.Route {
 		return cataloguer.Route{
@@ -110,9 +112,13 @@
 	a := admitter.New(admitter.Config{})
 	a.SetFleet(time.Now(), *fleet)
 	handler := forwarder.New(forwarder.Config{
-		Names:     names,
+		Names: names,
+		SharedParts: func(h http.Header) []identifier.PromptPart {
+			return []identifier.PromptPart{identifier.PromptPart(h.Get("Parts"))}
+		},
 		Fleet:     func() cataloguer.Fleet { return *f.fleet.Load() },
 		Admitter:  a,
+		Screener:  f.screener,
 		Budgeter:  budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, 1),
 		Requester: requester.New(requester.Config{Dial: dial}),
 		Log:       logger.New(logger.Config{Output: &f.log}),
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	stopResponseTimer func()
 	// stall cancels the latest attempt if no event arrives in time.
 	stall *stallTimer
+	// endWatch ends the watch of the latest attempt by the screener, which sets screened if it cancels the attempt.
+	endWatch func()
+	screened atomic.Bool
 	// grant is that of the latest attempt.
 	grant admitter.Granted
 	// head is the time from sending the latest attempt to the head of its response, or 0.
@@ -192,6 +196,7 @@
 	f.cfg.Admitter.RecordProgress(now, c.service)
 	if s.firstByte == 0 {
 		s.firstByte = now.Sub(sent)
+		s.endWatch()
 		f.cfg.Admitter.RecordFirstByte(now, s.grant)
 		f.cfg.Screener.RecordAnswer(now, c.prompt)
 	}
--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -118,6 +118,14 @@
 	rules []rule
 	// trials holds the parts with an isolated request at this gateway.
 	trials map[identifier.PromptPart]bool
+	// watched holds the requests that have been sent and not answered.
+	watched map[*watch]bool
+}
+
+// watch is a request that has been sent and not answered.
+type watch struct {
+	prompt Prompt
+	cancel func()
 }
 
 // New returns a Screener without suspicions.
@@ -132,12 +140,14 @@
 		seen:       seen,
 		answered:   map[identifier.PromptPart]time.Time{},
 		trials:     map[identifier.PromptPart]bool{},
+		watched:    map[*watch]bool{},
 	}
 }
 
 // RecordCrash records that an upstream crashed before it had answered a request. responding tells whether it had begun
 // its response.
 func (s *Screener) RecordCrash(now time.Time, p Prompt, responding bool) {
+	defer s.cancelRefused(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
@@ -172,6 +182,10 @@
 func (s *Screener) Verdict(now time.Time, p Prompt) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.verdict(now, p)
+}
+
+func (s *Screener) verdict(now time.Time, p Prompt) Verdict {
 	if len(s.suspicions) == 0 {
 		return Clear{}
 	}
@@ -192,6 +206,37 @@
 	return out
 }
 
+// Watch calls cancel if the request, which has been sent, becomes one that is refused: the part in question may have
+// crashed an upstream of another group meanwhile. It returns the function that ends the watch, which is called once the
+// upstream has begun its answer.
+func (s *Screener) Watch(p Prompt, cancel func()) (end func()) {
+	w := &watch{prompt: p, cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watched[w] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.watched, w)
+	}
+}
+
+// cancelRefused cancels the watched requests that are refused now.
+func (s *Screener) cancelRefused(now time.Time) {
+	var refused []*watch
+	s.mu.Lock()
+	for w := range s.watched {
+		if _, is := s.verdict(now, w.prompt).(Refused); is {
+			refused = append(refused, w)
+			delete(s.watched, w)
+		}
+	}
+	s.mu.Unlock()
+	for _, w := range refused {
+		w.cancel()
+	}
+}
+
 // BeginTrial reports whether an isolated request may be sent now. If it may, EndTrial has to follow.
 func (s *Screener) BeginTrial(part identifier.PromptPart) bool {
 	s.mu.Lock()
@@ -212,6 +257,14 @@
 
 // Merge adds the report of another gateway and returns the suspicions in it that are new here.
 func (s *Screener) Merge(now time.Time, report federator.CrashReport) []federator.Suspicion {
+	added := s.merge(now, report)
+	if len(added) > 0 {
+		s.cancelRefused(now)
+	}
+	return added
+}
+
+func (s *Screener) merge(now time.Time, report federator.CrashReport) []federator.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
