Exchange only crashes whose request is known

Cause: suspicions of upstreams that had not begun to respond were exchanged, bounded for each customer. A gateway that had removed one for its bound took it for news when another one reported it again. Change: uncertain suspicions stay at the gateway that observed the crash; bounds remove the oldest at every gateway alike; relays pass on at once only crashes of the last 2 s.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -281,12 +281,14 @@
 	if len(news) == 0 {
 		return
 	}
+	urgent := false
 	for _, s := range news {
+		urgent = urgent || now.Sub(s.At) < maxUrgentAge
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
 			Bool("responding", s.Responding).Strs("parts", partNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
 	g.news.add(now)
-	if g.gossiper.IsRelay() {
+	if urgent && g.gossiper.IsRelay() {
 		g.gossiper.Broadcast()
 	}
 }
--- a/internal/process/gatewayrunner/news.go
+++ b/internal/process/gatewayrunner/news.go
@@ -11,6 +11,8 @@
 	// newsRefreshInterval is the time between two datagrams that hold the state without news, for gateways that were cut
 	// off.
 	newsRefreshInterval = time.Second
+	// maxUrgentAge is the age up to which a relay passes a crash on at once; older ones are in the next datagrams.
+	maxUrgentAge = 2 * time.Second
 )
 
 // newsTimer decides which datagrams hold a state that seldom changes.
--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -270,7 +270,7 @@
 	s.expire(now)
 	var added []federator.Suspicion
 	for _, reported := range report.Suspicions {
-		if now.Sub(reported.At) > lifetime(reported)-maxReportDelay {
+		if !reported.Responding || now.Sub(reported.At) > lifetime(reported)-maxReportDelay {
 			continue
 		}
 		if known, found := s.suspicions[idOf(reported)]; found {
@@ -295,7 +295,8 @@
 	return added
 }
 
-// Report returns what is to be sent to the other gateways.
+// Report returns what is to be sent to the other gateways. Suspicions that are uncertain stay here: a crash of several
+// upstreams leaves dozens of them.
 func (s *Screener) Report(now time.Time) federator.CrashReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -304,10 +305,15 @@
 	}
 	s.expire(now)
 	report := federator.CrashReport{Answered: map[identifier.PromptPart]time.Time{}}
-	report.Suspicions = slices.SortedFunc(maps.Values(s.suspicions), compareSuspicions)
-	for part, at := range s.answered {
-		if !at.IsZero() {
-			report.Answered[part] = at
+	for _, known := range slices.SortedFunc(maps.Values(s.suspicions), compareSuspicions) {
+		if !known.Responding {
+			continue
+		}
+		report.Suspicions = append(report.Suspicions, known)
+		for _, part := range append(slices.Clone(known.Parts), known.Request) {
+			if at := s.answered[part]; !at.IsZero() {
+				report.Answered[part] = at
+			}
 		}
 	}
 	return report
@@ -365,27 +371,23 @@
 	return slices.ContainsFunc(times, func(t time.Time) bool { return at.Sub(t).Abs() < outageSpan })
 }
 
-// enforceBounds removes a suspicion of a customer that has too many, or of the customer with the most if there are too
-// many in all: the oldest uncertain one, or else the oldest.
+// enforceBounds removes a suspicion of a customer that has too many, or of any if there are too many in all: the oldest
+// uncertain one, or else the oldest. All gateways thus keep the same ones, and do not return to each other what they have
+// removed.
 func (s *Screener) enforceBounds(customer identifier.Customer) {
-	counts := map[identifier.Customer]int{}
+	ofCustomer := 0
 	for _, known := range s.suspicions {
-		counts[known.Customer]++
-	}
-	from := customer
-	if counts[customer] <= maxSuspicionsPerCustomer {
-		if len(s.suspicions) <= maxSuspicions {
-			return
-		}
-		for c, n := range counts {
-			if n > counts[from] || n == counts[from] && c < from {
-				from = c
-			}
+		if known.Customer == customer {
+			ofCustomer++
 		}
 	}
+	tooMany := ofCustomer > maxSuspicionsPerCustomer
+	if !tooMany && len(s.suspicions) <= maxSuspicions {
+		return
+	}
 	var oldest *federator.Suspicion
 	for _, known := range slices.SortedFunc(maps.Values(s.suspicions), compareSuspicions) {
-		if known.Customer == from && (oldest == nil || oldest.Responding && !known.Responding) {
+		if (!tooMany || known.Customer == customer) && (oldest == nil || oldest.Responding && !known.Responding) {
 			oldest = &known
 		}
 	}
--- a/internal/request/screener/screener_test.go
+++ b/internal/request/screener/screener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,6 +144,7 @@
 
 // delayed returns a report as it appears after 100 ms on the network: its times are sent as ages.
 func delayed(r federator.CrashReport) federator.CrashReport {
+	r.Suspicions = slices.Clone(r.Suspicions)
 	for i := range r.Suspicions {
 		r.Suspicions[i].At = r.Suspicions[i].At.Add(100 * time.Millisecond)
 	}
@@ -164,3 +166,33 @@
 	require.LessOrEqual(t, len(s.Report(now).Suspicions), 32)
 	require.True(t, refused(s.Verdict(now, prompt("quiet", "r2", "deadly"))))
 }
+
+// Load: several upstreams crash with dozens of requests at every gateway. Guards against gateways that send each other the
+// suspicions that they have just removed, without end.
+func TestGatewaysSettleOnTheSameSuspicions(t *testing.T) {
+	t.Parallel()
+	var fleet []*screener.Screener
+	for i := range 12 {
+		fleet = append(fleet, newScreener(identifier.Node(fmt.Sprint("n", i))))
+	}
+	for i := range 600 {
+		part := identifier.PromptPart(fmt.Sprint("part", i))
+		customer := identifier.Customer(fmt.Sprint("c", i%2))
+		fleet[i%12].RecordCrash(start.Add(time.Duration(i)*5*time.Millisecond), prompt(customer, part, part), i%2 == 0)
+	}
+	news := 0
+	for round := range 40 {
+		now := start.Add(4*time.Second + time.Duration(round)*200*time.Millisecond)
+		news = 0
+		for i, from := range fleet {
+			report := from.Report(now)
+			require.LessOrEqual(t, len(report.Suspicions), 32)
+			for j, to := range fleet {
+				if i != j {
+					news += len(to.Merge(now.Add(100*time.Millisecond), delayed(report)))
+				}
+			}
+		}
+	}
+	require.Zero(t, news)
+}
