Search for groups of ranks while others are managed

Cause: groups were searched for only while none was managed, so one that was incomplete at that moment, or was dropped after an error, was never looked for again; the demand estimate was kept for the service, so that groups replaced each other's. Change: upstreams of no managed group are asked once a second, with one try each, and read if they report an open group; estimates are kept for each group. Evidence: TestGroupThatWasIncompleteAtFirstGetsAMap failed before.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -37,6 +37,8 @@
 	// reportLag is the maximum age of the reports of ranks. For this time after a request was served, a report that the
 	// group is closed may be older than the request.
 	reportLag = 500 * time.Millisecond
+	// groupSearchInterval is the time between two searches for further groups of a service while one is managed.
+	groupSearchInterval = time.Second
 	// callTimeout bounds one call of a rank; ranks respond within a few milliseconds.
 	callTimeout = 150 * time.Millisecond
 	// maxCallTries bounds the calls to a rank that times out or fails. Ranks may fail a part of their calls for seconds,
@@ -101,8 +103,10 @@
 	tenure uint64
 	// version is the last map version that this leader has used.
 	version uint64
-	// estimators holds the last estimator of each service; it outlives the epoch of a group.
-	estimators map[identifier.Service]*estimator.Estimator
+	// estimators holds the last estimator of each group; it outlives the epoch of a group.
+	estimators map[identifier.ModelGroup]*estimator.Estimator
+	// searchedAt holds when groups of each service were last searched for.
+	searchedAt map[identifier.Service]time.Time
 	// failingSince is when the first of the renewals that have failed in a row started; zero if the last one succeeded.
 	failingSince time.Time
 	// ordersMu is held while orders are issued, so that the lease is not resigned during a switch.
@@ -122,7 +126,8 @@
 func New(cfg Config) *Leader {
 	return &Leader{
 		cfg:        cfg,
-		estimators: map[identifier.Service]*estimator.Estimator{},
+		estimators: map[identifier.ModelGroup]*estimator.Estimator{},
+		searchedAt: map[identifier.Service]time.Time{},
 		openedAt:   map[identifier.Service]time.Time{},
 		replaced:   map[identifier.Upstream]uint64{},
 		wake:       make(chan struct{}, 1),
@@ -303,8 +308,8 @@
 	idleMoves int
 }
 
-// rebalanceService discovers the groups of a service if none is managed, rebalances each once and returns the time
-// until the next call.
+// rebalanceService discovers the groups of a service that are not managed, rebalances each managed one once and returns
+// the time until the next call.
 func (l *Leader) rebalanceService(ctx context.Context, s cataloguer.Service, managed map[identifier.ModelGroup]*managedGroup) time.Duration {
 	var current []*managedGroup
 	for _, g := range managed {
@@ -312,23 +317,20 @@
 			current = append(current, g)
 		}
 	}
+	found, closed := l.search(ctx, s, current)
+	for _, g := range found {
+		managed[g.group.Name] = g
+	}
 	if len(current) == 0 {
-		found, closed := l.discoverGroups(ctx, s)
-		switch {
-		case len(found) > 0:
-			l.cfg.OnGroupState(s.Name, true)
-		case closed:
-			l.cfg.OnGroupState(s.Name, false)
-			return groupRetryInterval
-		default:
+		if len(found) > 0 || closed {
+			l.cfg.OnGroupState(s.Name, len(found) > 0)
+		}
+		if len(found) == 0 {
 			// Neither a rank that does not respond nor a failed recovery from an earlier switch means that the group is closed.
 			return groupRetryInterval
 		}
-		for _, g := range found {
-			managed[g.group.Name] = g
-		}
-		current = found
 	}
+	current = append(current, found...)
 	next := countInterval
 	for _, g := range current {
 		if !g.hasCounts {
@@ -349,6 +351,34 @@
 	return next
 }
 
+// search discovers the groups of upstreams that belong to no managed group. While other groups are managed, it calls these
+// upstreams once per groupSearchInterval only, and reads further only if one reports a group that is open.
+func (l *Leader) search(ctx context.Context, s cataloguer.Service, current []*managedGroup) ([]*managedGroup, bool) {
+	members := l.members(s.Name)
+	if len(current) == 0 {
+		return l.discoverGroups(ctx, s, members)
+	}
+	members = slices.DeleteFunc(members, func(m mapswitcher.Member) bool {
+		return slices.ContainsFunc(current, func(g *managedGroup) bool { return slices.Contains(g.group.Members, m) })
+	})
+	if len(members) == 0 || time.Since(l.searchedAt[s.Name]) < groupSearchInterval {
+		return nil, false
+	}
+	l.searchedAt[s.Name] = time.Now()
+	reports, errs := gather(ctx, members, 1, l.cfg.Engines.Report)
+	// An upstream that has ended may still be listed beside its successor in a managed group.
+	isManaged := func(name identifier.ModelGroup) bool {
+		return slices.ContainsFunc(current, func(g *managedGroup) bool { return g.group.Name == name })
+	}
+	var candidates []mapswitcher.Member
+	for i, r := range reports {
+		if errs[i] == nil && r.Open && r.Group != "" && !isManaged(r.Group) {
+			candidates = append(candidates, members[i])
+		}
+	}
+	return l.discoverGroups(ctx, s, candidates)
+}
+
 // countInterval returns the time before the counts of the group are read again.
 func (g *managedGroup) countInterval() time.Duration {
 	switch g.verdict {
@@ -386,15 +416,15 @@
 	}
 }
 
-// gather calls a function for all members concurrently, up to maxCallTries times for each until it succeeds. It returns
+// gather calls a function for all members concurrently, up to some times for each until it succeeds. It returns
 // the results and errors by member; the error is that of the last try.
-func gather[T any](ctx context.Context, members []mapswitcher.Member, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
+func gather[T any](ctx context.Context, members []mapswitcher.Member, tries int, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
 	out := make([]T, len(members))
 	errs := make([]error, len(members))
 	var wg sync.WaitGroup
 	for i, m := range members {
 		wg.Go(func() {
-			for range maxCallTries {
+			for range tries {
 				callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 				out[i], errs[i] = call(callCtx, m)
 				cancel()
@@ -408,10 +438,9 @@
 	return out, errs
 }
 
-// discoverGroups returns the groups of a service of which all ranks report, and whether a rank reports its group as
+// discoverGroups returns the groups of some upstreams of a service of which all ranks report, and whether a rank reports its group as
 // closed.
-func (l *Leader) discoverGroups(ctx context.Context, s cataloguer.Service) ([]*managedGroup, bool) {
-	members := l.members(s.Name)
+func (l *Leader) discoverGroups(ctx context.Context, s cataloguer.Service, members []mapswitcher.Member) ([]*managedGroup, bool) {
 	if len(members) == 0 {
 		return nil, false
 	}
@@ -427,7 +456,7 @@
 			return nil, true
 		}
 	}
-	reports, errs := gather(ctx, members, l.cfg.Engines.Report)
+	reports, errs := gather(ctx, members, maxCallTries, l.cfg.Engines.Report)
 	groups := map[identifier.ModelGroup]*groupReports{}
 	closed := false
 	for i, r := range reports {
@@ -496,7 +525,7 @@
 		service: s,
 		group:   mapswitcher.Group{Name: name, Members: reported.members},
 		estimator: estimator.New(estimator.Config{
-			Sets: s.Engine.Sets, Experts: s.Engine.Experts, Ranks: len(reported.members), Previous: l.estimators[s.Name],
+			Sets: s.Engine.Sets, Experts: s.Engine.Experts, Ranks: len(reported.members), Previous: l.estimators[name],
 		}),
 		switcher: mapswitcher.New(mapswitcher.Config{
 			Engines:  l.cfg.Engines,
@@ -504,7 +533,7 @@
 			LoadTime: s.Engine.ExpertLoadTime,
 		}),
 	}
-	l.estimators[s.Name] = g.estimator
+	l.estimators[name] = g.estimator
 	epoch, err := l.readLayout(ctx, g)
 	if err != nil {
 		return nil, err
@@ -523,7 +552,7 @@
 // readLayout reads the maps of the ranks into the layout of the group and returns their epoch. Unlike reports, the maps
 // are up to date.
 func (l *Leader) readLayout(ctx context.Context, g *managedGroup) (mapswitcher.Epoch, error) {
-	maps, errs := gather(ctx, g.group.Members, l.cfg.Engines.RankMap)
+	maps, errs := gather(ctx, g.group.Members, maxCallTries, l.cfg.Engines.RankMap)
 	layout := make(rebalancer.Layout, g.service.Engine.Sets)
 	for s := range layout {
 		layout[s] = make([][]identifier.Expert, len(maps))
@@ -546,7 +575,7 @@
 // recoverGroup ends the switch that an earlier leader or a failed switch of this one has left unfinished. It may only
 // be called once this gateway has led, or the earlier leader has been silent, for longer than reportLag.
 func (l *Leader) recoverGroup(ctx context.Context, g *managedGroup) error {
-	reports, errs := gather(ctx, g.group.Members, l.cfg.Engines.Report)
+	reports, errs := gather(ctx, g.group.Members, maxCallTries, l.cfg.Engines.Report)
 	for i, r := range reports {
 		if errs[i] != nil {
 			return errs[i]
@@ -597,7 +626,7 @@
 		}
 	}
 	ranks, sampled := g.sampled()
-	counts, errs := gather(ctx, sampled, l.cfg.Engines.Counts)
+	counts, errs := gather(ctx, sampled, maxCallTries, l.cfg.Engines.Counts)
 	var values [][]float64
 	for i, c := range counts {
 		if errs[i] != nil {
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -46,6 +46,8 @@
 	neverServed bool
 	// reportedClosed is set once the leader has reported the group as closed.
 	reportedClosed bool
+	// twoGroups makes ranks 2 and 3 the ranks 0 and 1 of a second group.
+	twoGroups bool
 }
 
 // maxSwitchTime is longer than the leader takes to read the counts of a group twice and to switch its map.
@@ -72,6 +74,13 @@
 	return e.armed["0"] && e.armed["1"]
 }
 
+// allSwitched reports whether the ranks of both groups were armed.
+func (e *fakeEngines) allSwitched() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.armed) == 4
+}
+
 // ordered reports whether the ranks received orders.
 func (e *fakeEngines) ordered() bool {
 	e.mu.Lock()
@@ -87,7 +96,11 @@
 	if err != nil {
 		return mapswitcher.Report{}, err
 	}
-	return mapswitcher.Report{Group: "g", Epoch: 1, Rank: identifier.Rank(rank), Size: max(e.size, 2), Open: !e.closed.Load()}, nil
+	group := identifier.ModelGroup("g")
+	if e.twoGroups && rank > 1 {
+		group, rank = "h", rank-2
+	}
+	return mapswitcher.Report{Group: group, Epoch: 1, Rank: identifier.Rank(rank), Size: max(e.size, 2), Open: !e.closed.Load()}, nil
 }
 
 func (e *fakeEngines) Counts(_ context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
@@ -105,7 +118,7 @@
 
 func (e *fakeEngines) RankMap(_ context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
 	experts := []identifier.Expert{0, 2}
-	if m.Address != "0" {
+	if m.Address != "0" && m.Address != "2" {
 		experts = []identifier.Expert{1, 3}
 	}
 	return mapswitcher.RankMap{Epoch: 1, Experts: [][]identifier.Expert{experts}}, nil
@@ -327,3 +340,23 @@
 		stop()
 	})
 }
+
+// Guards against a group that never gets a map, since one of its ranks did not respond when another group was found.
+func TestGroupThatWasIncompleteAtFirstGetsAMap(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true}
+		engines.silent.Store(true)
+		l := newLeader(newFixture(), engines,
+			cataloguer.Upstream{ID: "c", Service: "s", Address: "2", Version: 7}, cataloguer.Upstream{ID: "d", Service: "s", Address: "3", Version: 8})
+		stop := startLeader(t, l)
+		time.Sleep(3 * time.Second)
+		found := engines.ordered() && !engines.switched()
+		engines.silent.Store(false)
+		time.Sleep(3 * time.Second)
+		both := engines.allSwitched()
+		stop()
+		require.True(t, found, "the complete group gets a map")
+		require.True(t, both, "the other one as well, once it is complete")
+	})
+}
