--- a/internal/process/gatewayrunner/crashrows.go
+++ b/internal/process/gatewayrunner/crashrows.go
@@ -41,7 +41,7 @@
 		if s.Node == node && s.Responding {
 			stored = append(stored, storedCrash{
 				Incarnation: uint64(s.Incarnation), Sequence: s.Sequence, UnixMs: s.At.UnixMilli(),
-				Customer: string(s.Customer), Parts: partNames(s.Parts), Request: string(s.Request),
+				Customer: string(s.Customer), Parts: identifier.PartNames(s.Parts), Request: string(s.Request),
 			})
 		}
 	}
@@ -70,15 +70,6 @@
 	return suspicions, nil
 }
 
-// partNames returns the parts of a prompt as texts.
-func partNames(parts []identifier.PromptPart) []string {
-	names := make([]string, len(parts))
-	for i, p := range parts {
-		names[i] = string(p)
-	}
-	return names
-}
-
 // maintainCrashRows reads the crash rows when the gateway starts and while no peer is live, and writes the own row after
 // each crash, until the context ends.
 func (g *gateway) maintainCrashRows(ctx context.Context) error {
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -285,7 +285,7 @@
 	for _, s := range news {
 		urgent = urgent || now.Sub(s.At) < maxUrgentAge
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
-			Bool("responding", s.Responding).Strs("parts", partNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
+			Bool("responding", s.Responding).Strs("parts", identifier.PartNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
 	g.news.add(now)
 	if urgent && g.gossiper.IsRelay() {
@@ -293,12 +293,13 @@
 	}
 }
 
-// announceCrash sends a crash that this gateway has observed to the peers, at once if the request to blame is known.
+// announceCrash sends a crash that this gateway has observed to the peers and to the store, if the request to blame is
+// known.
 func (g *gateway) announceCrash(responding bool) {
-	g.news.add(time.Now())
 	if !responding {
 		return
 	}
+	g.news.add(time.Now())
 	g.gossiper.Broadcast()
 	select {
 	case g.crashObserved <- struct{}{}:
@@ -315,13 +316,12 @@
 	}
 }
 
-// announceLimit logs that the rate limit of an upstream has changed and sends it to the peers.
+// announceLimit logs that the rate limit of an upstream has changed. The next datagrams hold it.
 func (g *gateway) announceLimit(id identifier.Upstream) {
 	now := time.Now()
 	limits, _ := g.admitter.Limits(now)
 	g.logLimit(id, limits[id], g.settings.Node)
 	g.news.add(now)
-	g.gossiper.Broadcast()
 }
 
 func (g *gateway) logLimit(id identifier.Upstream, l federator.UpstreamLimit, source identifier.Node) {
--- a/internal/process/identifier/identifier.go
+++ b/internal/process/identifier/identifier.go
@@ -73,6 +73,15 @@
 	Priority int
 )
 
+// PartNames returns the parts of a prompt as texts.
+func PartNames(parts []PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = string(p)
+	}
+	return names
+}
+
 // Role is the function of a node in the fleet.
 type Role string
 
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -68,8 +68,11 @@
 	if full || now.Before(u.backoffUntil) {
 		return false
 	}
-	if !a.limiter.Allows(now, u.ID, a.demandShare(now, s), !now.Before(request.OnTimeUntil)) {
-		return false
+	if _, limited := a.limiter.Limit(u.ID); limited {
+		late := !now.Before(request.OnTimeUntil)
+		if !a.limiter.Allows(now, u.ID, a.demandShare(now, s), late) {
+			return false
+		}
 	}
 	return !now.Before(u.coldUntil) || s.ColdPerSecond <= 0 || !now.Before(u.coldPacer.nextSend)
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -346,7 +346,7 @@
 		line = line.Str("limitPerS", s.limit)
 	}
 	if !r.complete && s.firstByte == 0 {
-		line = line.Strs("parts", partNames(c.prompt.Parts))
+		line = line.Strs("parts", identifier.PartNames(c.prompt.Parts))
 		if s.head > 0 {
 			line = line.Dur("headMs", s.head)
 		}
@@ -360,15 +360,6 @@
 	line.Send()
 }
 
-// partNames returns the parts of a prompt as texts.
-func partNames(parts []identifier.PromptPart) []string {
-	names := make([]string, len(parts))
-	for i, p := range parts {
-		names[i] = string(p)
-	}
-	return names
-}
-
 // logEnd logs the end of a request; status is 0 if its connection was closed without a complete response.
 func (f *Forwarder) logEnd(c *call, status int, reason string) {
 	f.responseTimes.Observe(time.Since(c.arrived))
