Wait for the handler of first requests before the shutdown

Cause: net/http closes a connection without a response if its shutdown starts between the read of the first request and the call of the handler, and connections that Accept has returned but Serve has not registered yet were not waited for. The stop looked at the connections' states, which change before both. The failure needs a goroutine that gets no processor time for 10 ms and was not repeated by hand. Change: a connection is waited for until its handler is called, and the wait starts when Serve has returned.

--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
@@ -16,7 +15,6 @@
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/process/supervisor"
-	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/platform"
 )
 
@@ -26,10 +24,6 @@
 	rotationDelay = 2500 * time.Millisecond
 	// graceMargin is the part of the platform's grace period that is reserved for the exit of the process itself.
 	graceMargin = 600 * time.Millisecond
-	// maxFirstRequestWait bounds the wait for the first requests of accepted connections: clients send them at once.
-	maxFirstRequestWait = 500 * time.Millisecond
-	// firstRequestCheckInterval is the time between two checks whether all of them have arrived.
-	firstRequestCheckInterval = 10 * time.Millisecond
 )
 
 // run opens the listeners and runs all components. When the context ends, it stops them gracefully.
@@ -109,7 +103,8 @@
 		accepted := newConnections()
 		server := &http.Server{
 			ConnState:         accepted.observe,
-			Handler:           g.clientHandler(),
+			ConnContext:       withConnection,
+			Handler:           accepted.handler(g.clientHandler()),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -125,6 +120,7 @@
 			}
 		}()
 		err := server.Serve(l)
+		accepted.complete()
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "serve clients")
 		}
@@ -148,7 +144,8 @@
 	case <-ctx.Done():
 	case <-rotation.C:
 	}
-	// net/http closes connections whose first request it reads during its shutdown, so these requests come first.
+	// net/http closes connections without a response if it has not called the handler of their first request when its
+	// shutdown starts.
 	_ = l.Close()
 	accepted.waitForRequests(ctx, min(maxFirstRequestWait, grace/4))
 	deadline := started.Add(grace)
@@ -208,36 +205,3 @@
 	}
 	g.log.Event(logger.EventSettingsReloaded).Bool("signalled", signalled).Int("seeds", len(settings.Seeds)).Send()
 }
-
-// connections holds the client connections that have not sent a request yet.
-type connections struct {
-	mu     sync.Mutex
-	silent map[net.Conn]bool
-}
-
-func newConnections() *connections {
-	return &connections{silent: map[net.Conn]bool{}}
-}
-
-// observe records the state of a connection.
-func (c *connections) observe(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateNew {
-		c.silent[conn] = true
-		return
-	}
-	delete(c.silent, conn)
-}
-
-// waitForRequests waits until all connections have sent a request and its handler has started, or for a time.
-func (c *connections) waitForRequests(ctx context.Context, limit time.Duration) {
-	for end := time.Now().Add(limit); time.Now().Before(end); {
-		c.mu.Lock()
-		silent := len(c.silent)
-		c.mu.Unlock()
-		if !waiter.For(ctx, firstRequestCheckInterval) || silent == 0 {
-			return
-		}
-	}
-}
