Let one gateway only open the group in the gossip test

Cause: TestGroupOpeningIsGossipedToPeers required that a peer learns of the opening by gossip, but the request that had closed the group at the peer waited there and could open it at the same moment, so that both gateways opened it by progress. Change: the upstream rejects the requests that close the group in any case, so that only the first gateway's probe opens it.

--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -57,7 +57,8 @@
 	runsByRequest map[string]int
 	// responseDelay delays the responses of the upstream.
 	responseDelay time.Duration
-	// closed makes the upstream reject requests as a rank of a closed group does.
+	// closed makes the upstream reject requests as a rank of a closed group does. Requests whose id begins with "rejected"
+	// are rejected in any case.
 	closed bool
 	// limit is the rate limit that the upstream names in its responses, or empty.
 	limit string
@@ -80,7 +81,7 @@
 	id := r.Header.Get("Request-Id")
 	d.mu.Lock()
 	d.runsByRequest[id]++
-	delay, closed, limit := d.responseDelay, d.closed, d.limit
+	delay, closed, limit := d.responseDelay, d.closed || strings.HasPrefix(id, "rejected"), d.limit
 	d.mu.Unlock()
 	time.Sleep(delay)
 	w.Header().Set("Request-Id", id)
@@ -342,7 +343,7 @@
 	}
 	d.setClosed(true)
 	for i, g := range gateways {
-		go g.send(t, "/a/", fmt.Sprint("closing", i))
+		go g.send(t, "/a/", fmt.Sprint("rejected", i))
 		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), `"cause":"rejection"`) }, timeout, 10*time.Millisecond)
 	}
 	d.setClosed(false)
