Run tests that measure time before those that use all cores

Change: the load tests of the forwarder run before its parallel tests, and the prover's tests follow all others. No test and no bound is changed.

--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,10 @@
 	$(LINT) fmt --diff
 	$(LINT) run ./...
 
+# Tests that start processes of their own use all cores, so they follow the tests that measure time.
 test: build
-	go run ./cmd/prover test -- -race -timeout 20m ./...
+	bin/prover test -- -race -timeout 20m $$(go list ./... | grep -v /internal/prover/)
+	bin/prover test -- -race -timeout 20m ./internal/prover/...
 
 check: lint build test
 	bin/prover faults --part check
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -402,7 +402,6 @@
 // Load: a group fails for some seconds at 60% of its capacity. Guards against requests after the outage that fail
 // because of the backlog, and against a backlog that makes all later requests late.
 func TestRequestsAreServedAfterGroupOutage(t *testing.T) {
-	t.Parallel()
 	for _, outage := range []time.Duration{2600 * time.Millisecond, 6 * time.Second} {
 		// A client waits 8 s in total and retries once, which bridges only the end of the longer outage.
 		minServedDuring := 0.25
@@ -421,7 +420,6 @@
 // Load: from 8 s on, 3 in 100 requests hold a part of a prompt that crashes each rank which begins to respond. Guards
 // against gateways that send such requests again after each outage.
 func TestCrashingPromptPartCrashesFewUpstreams(t *testing.T) {
-	t.Parallel()
 	var crashes []time.Time
 	var after map[outcome]float64
 	synctest.Test(t, func(t *testing.T) {
@@ -441,7 +439,7 @@
 	require.Greater(t, after[outcomeOnTime], 0.95)
 }
 
-// limitLoad is not for parallel tests: it takes a core for seconds. It runs clients against a group whose first ranks name a limit from 8 to 28 s. It returns the most requests that
+// limitLoad runs clients against a group whose first ranks name a limit from 8 to 28 s. It returns the most requests that
 // one of them got within 4 s, from 3 s after the first naming on, and the shares of the outcomes while the limit held and
 // after it.
 func limitLoad(t *testing.T, seed uint64, ranks int, perSecond float64) (most int, during, after map[outcome]float64) {
