Defer deletions after outages of the platform only

Change: a follower asks, with each failed call, whether the store has responded to peers for longer than the time between two responses. If so for 1 s before its own next response, it has lost the store alone, and deletions apply at once. Ruled out: asking at the recovery only, since others may notice the end of a real outage first; the test plays both.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -560,14 +560,15 @@
 
 func (g *gateway) newFollower(t replicator.Table, deferDeletions bool) *follower.Follower {
 	return follower.New(follower.Config{
-		Store:          g.store,
-		Replicator:     g.replicator,
-		Table:          t,
-		DeferDeletions: deferDeletions,
-		ShouldFollow:   g.shouldFollow,
-		OnStoreLost:    func() { g.gossiper.Broadcast() },
-		Log:            g.log,
-		Meter:          g.meter,
+		Store:            g.store,
+		Replicator:       g.replicator,
+		Table:            t,
+		DeferDeletions:   deferDeletions,
+		ShouldFollow:     g.shouldFollow,
+		StoreServesPeers: g.storeServesPeers,
+		OnStoreLost:      func() { g.gossiper.Broadcast() },
+		Log:              g.log,
+		Meter:            g.meter,
 	})
 }
 
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -31,6 +31,12 @@
 	failureExpiry = 5 * time.Second
 	// outageAfter is the shortest time without a successful call that counts as an outage of the platform.
 	outageAfter = time.Second
+	// lostAloneAfter is how long after its own last response a process takes a response to another one as a sign that the
+	// platform is not down. It exceeds the time between two responses.
+	lostAloneAfter = 1500 * time.Millisecond
+	// lostAloneFor is how long before its own next response a process must have noticed that sign: when the platform
+	// returns, some processes receive a response before others.
+	lostAloneFor = time.Second
 )
 
 // Store is the part of the platform's store that a Follower uses. Read returns all rows, Follow those that changed after
@@ -51,6 +57,8 @@
 	ShouldFollow func() bool
 	// DeferDeletions is set for tables whose rows expire during an outage of the platform.
 	DeferDeletions bool
+	// StoreServesPeers reports whether the store has responded to another process since a time.
+	StoreServesPeers func(since time.Time) bool
 	// OnStoreLost is called when the store no longer responds, so that another process follows it at once.
 	OnStoreLost func()
 	Log         *logger.Logger
@@ -74,6 +82,9 @@
 	lastFailure time.Time
 	// failures counts the failed calls since the last response.
 	failures int
+	// lostAloneSince is when a failed call first showed that the store responds to others; zero if none did since the last
+	// response.
+	lostAloneSince time.Time
 }
 
 // New returns a Follower that starts with a full read.
@@ -81,6 +92,9 @@
 	if cfg.OnStoreLost == nil {
 		cfg.OnStoreLost = func() {}
 	}
+	if cfg.StoreServesPeers == nil {
+		cfg.StoreServesPeers = func(time.Time) bool { return false }
+	}
 	return &Follower{cfg: cfg, needsFullRead: true, lastCurrent: time.Now()}
 }
 
@@ -148,21 +162,23 @@
 	return nil
 }
 
-// recordSuccess updates the state after a response. It notifies the replicator if an outage has ended.
+// recordSuccess updates the state after a response. It notifies the replicator if an outage of the platform has ended.
 func (f *Follower) recordSuccess() {
 	now := time.Now()
 	outage := now.Sub(f.lastCurrent)
+	lostAlone := !f.lostAloneSince.IsZero() && now.Sub(f.lostAloneSince) >= lostAloneFor
 	f.lastCurrent = now
+	f.lostAloneSince = time.Time{}
 	f.lastResponse.Store(&now)
 	f.failures = 0
 	if !f.failing.CompareAndSwap(true, false) {
 		return
 	}
-	if outage > outageAfter {
+	if outage > outageAfter && !lostAlone {
 		f.cfg.Replicator.PlatformRecovered(now)
 	}
 	f.cfg.Log.Event(logger.EventStoreAvailable).Str("table", string(f.cfg.Table)).Dur("awayMs", outage).
-		Uint64("version", f.version).Send()
+		Bool("lostAlone", lostAlone).Uint64("version", f.version).Send()
 }
 
 // recordFailure updates the state after a failed call and returns the time before the next one. The shift is capped, so
@@ -175,6 +191,9 @@
 	f.cfg.Meter.Increment(meter.StoreFailures)
 	f.failures++
 	f.lastFailure = time.Now()
+	if f.lostAloneSince.IsZero() && f.cfg.StoreServesPeers(f.lastCurrent.Add(lostAloneAfter)) {
+		f.lostAloneSince = f.lastFailure
+	}
 	if f.failing.CompareAndSwap(false, true) {
 		f.cfg.Log.Event(logger.EventStoreUnavailable).Str("table", string(f.cfg.Table)).AnErr("error", err).
 			Uint64("version", f.version).Send()
--- a/internal/version/follower/follower_test.go
+++ b/internal/version/follower/follower_test.go
@@ -34,6 +34,13 @@
 	s.rows = append(s.rows, replicator.Row{Key: key, Version: s.version})
 }
 
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows = []replicator.Row{{Key: key, Version: s.version, Deleted: true}}
+}
+
 func (s *store) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,3 +176,50 @@
 		require.Len(t, r.Rows(table), 3)
 	})
 }
+
+// Guards against a gateway that defers deletions after it alone has lost the store, and thus uses upstreams that are gone,
+// and against one that does not defer them after an outage of the platform, whose end others may notice first.
+func TestDeletionsAreDeferredAfterOutagesOfThePlatformOnly(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		// peersServed is when the store responds to another gateway again, after its loss.
+		peersServed time.Duration
+		deferred    bool
+	}{
+		"lost alone":                 {peersServed: 0, deferred: false},
+		"outage, others served":      {peersServed: 7500 * time.Millisecond, deferred: true},
+		"outage, others not served":  {peersServed: time.Hour, deferred: true},
+		"others served long earlier": {peersServed: 4 * time.Second, deferred: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{}
+				s.put("a")
+				r := replicator.New(replicator.Config{})
+				started := time.Now()
+				const lostAt, lostFor = time.Second, 8 * time.Second
+				f := follower.New(follower.Config{
+					Store: s, Replicator: r, Table: table, ShouldFollow: always, DeferDeletions: true,
+					StoreServesPeers: func(since time.Time) bool {
+						at := time.Since(started)
+						return since.Before(started.Add(lostAt)) || at >= lostAt+tt.peersServed && since.Before(time.Now())
+					},
+					Log: logger.Discard(), Meter: meter.New(),
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = f.Run(ctx) })
+				time.Sleep(lostAt)
+				s.fail(replicator.ErrRefused)
+				time.Sleep(lostFor)
+				s.fail(nil)
+				s.remove("a")
+				time.Sleep(time.Second)
+				require.Equal(t, tt.deferred, len(r.Rows(table)) == 1)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
