Bound renewals of the lease of expert maps to 0.6 s

Cause: a store that does not respond lets a renewal wait for 1.5 s. The first renewal of an outage starts 1 s after the last success, so that two of them end at 4.4 and 5.9 s: the first too early to count as an outage of the platform (2 s of failures), the second after the term of 4 s. The leader gave up at 5.9 s, although it may extend its lease during an outage. Change: a renewal is bounded to 0.6 s; the store takes 0.24 s while it is slow. The test with a silent store fails without the bound.

--- a/internal/version/mapleader/lease_test.go
+++ b/internal/version/mapleader/lease_test.go
@@ -26,10 +26,15 @@
 	// refused holds the nodes whose calls fail, and refusedAt is when the first of these writes took place.
 	refused   map[identifier.Node]bool
 	refusedAt time.Time
+	// silent makes the calls of refused nodes fail only when their context or silentTimeout ends.
+	silent bool
 	// loseResponses makes writes take effect but return an error.
 	loseResponses bool
 }
 
+// silentTimeout is the store client's own timeout of a call.
+const silentTimeout = 1500 * time.Millisecond
+
 var errResponseLost = errors.New("response lost")
 
 func (s *store) refuse(node identifier.Node) {
@@ -54,13 +59,21 @@
 	return s.row, nil
 }
 
-func (s nodeStore) Write(_ context.Context, _ replicator.Table, key string, value []byte, expected uint64) (uint64, error) {
+func (s nodeStore) Write(ctx context.Context, _ replicator.Table, key string, value []byte, expected uint64) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refused[s.node] {
 		if s.refusedAt.IsZero() {
 			s.refusedAt = time.Now()
 		}
+		if s.silent {
+			s.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-time.After(silentTimeout):
+			}
+			s.mu.Lock()
+		}
 		return 0, replicator.ErrRefused
 	}
 	if s.row.Version != expected {
@@ -261,6 +274,33 @@
 	}
 }
 
+// Guards against a lease that ends during an outage because the store, which does not respond at all, delays the renewals.
+func TestLeaderKeepsLeadingWhileStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		f := newFixture()
+		f.clock = func() time.Duration { return time.Since(started) }
+		f.platformDown = true
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newLeader(f, &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}})
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.RunLease(ctx) })
+		time.Sleep(time.Second)
+		require.True(t, l.Leading())
+		f.store.mu.Lock()
+		f.store.silent = true
+		f.store.mu.Unlock()
+		f.store.refuse("a")
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			require.True(t, l.Leading())
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // Guards against a leader that resigns at the start of an outage because another gateway's call ended a moment after its
 // own had begun.
 func TestLeaderKeepsLeadingWhenAnOutageBegins(t *testing.T) {
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -48,6 +48,9 @@
 	releaseTimeout = 300 * time.Millisecond
 	// leaseInterval is the time between two checks of the lease.
 	leaseInterval = 250 * time.Millisecond
+	// renewTimeout bounds one renewal: several have to fail before an outage counts as one of the platform and the lease can
+	// be extended, all within its term. The store responds in 4 ms, and takes up to 60 times as long while it is slow.
+	renewTimeout = 600 * time.Millisecond
 	// outageAfter is how long renewals must fail before the leader considers the platform down for all gateways. Gateways
 	// that follow the store receive a response at least every 1.5 s and report it within 0.4 s.
 	outageAfter = 2 * time.Second
@@ -221,7 +224,9 @@
 // between two switches.
 func (l *Leader) renew(ctx context.Context) (bool, error) {
 	started := time.Now()
-	held, err := l.cfg.Lease.Renew(ctx)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	held, err := l.cfg.Lease.Renew(callCtx)
+	cancel()
 	if !held || err == nil {
 		l.failingSince = time.Time{}
 		return held, err
