Give groups maps while a restarted rank is not listed

Cause: a rank that restarts while the platform's store is away is not listed. Orders name the incarnation that is listed, the rank rejects them (421), and the leader left it out of the group until its row changed, so the group kept map 0 (skew 3.4) until the store was back. Change: if another upstream has the address and none is listed there, orders to that address name no incarnation. They hold the epoch, which ends with each crash of a rank, so a rank that belongs to another epoch still rejects them. Marks of upstreams that are no longer listed are dropped. The test fails before.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -346,7 +346,7 @@
 			delete(managed, g.group.Name)
 			var replaced *mapswitcher.ReplacedError
 			if errors.As(err, &replaced) {
-				l.exclude(replaced.Upstream)
+				l.markReplaced(replaced.Upstream)
 				next = 0
 			}
 			continue
@@ -399,22 +399,37 @@
 }
 
 // members returns the upstreams of a service, those with older rows first. The row of an upstream that has ended stays
-// listed for some seconds, while its successor responds at the same address.
+// listed for some seconds, while its successor responds at the same address. The successor is listed later than it
+// responds, after an outage of the platform's store only.
 func (l *Leader) members(s identifier.Service) []mapswitcher.Member {
 	upstreams := slices.Clone(l.cfg.Fleet().Upstreams)
 	slices.SortStableFunc(upstreams, func(a, b cataloguer.Upstream) int { return cmp.Compare(a.Version, b.Version) })
 	var out []mapswitcher.Member
+	listed := map[string]bool{}
 	for _, u := range upstreams {
 		if u.Service == s && l.replaced[u.ID] != u.Version {
 			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address})
+			listed[u.Address] = true
+		}
+	}
+	for _, u := range upstreams {
+		if u.Service == s && !listed[u.Address] {
+			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address, Unlisted: true})
+			listed[u.Address] = true
 		}
 	}
 	return out
 }
 
-// exclude leaves a replaced upstream out of the groups until its row changes.
-func (l *Leader) exclude(id identifier.Upstream) {
-	for _, u := range l.cfg.Fleet().Upstreams {
+// markReplaced records that another upstream has the address of an upstream, until the row of the latter changes.
+func (l *Leader) markReplaced(id identifier.Upstream) {
+	upstreams := l.cfg.Fleet().Upstreams
+	for known := range l.replaced {
+		if !slices.ContainsFunc(upstreams, func(u cataloguer.Upstream) bool { return u.ID == known }) {
+			delete(l.replaced, known)
+		}
+	}
+	for _, u := range upstreams {
 		if u.ID == id {
 			l.replaced[id] = u.Version
 		}
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -46,6 +46,8 @@
 	neverServed bool
 	// reportedClosed is set once the leader has reported the group as closed.
 	reportedClosed bool
+	// unlisted is an upstream whose address a successor has that the platform does not list.
+	unlisted identifier.Upstream
 	// twoGroups makes ranks 2 and 3 the ranks 0 and 1 of a second group.
 	twoGroups bool
 }
@@ -134,7 +136,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
-	if m.Upstream == "ended" {
+	if !m.Unlisted && (m.Upstream == "ended" || m.Upstream == e.unlisted) {
 		return mapswitcher.StatusReplaced, nil
 	}
 	switch o.(type) {
@@ -270,6 +272,18 @@
 	}
 }
 
+// Guards against a group that keeps its first map for as long as the store is away, because a restarted rank is not listed.
+func TestUnlistedSuccessorGetsAMap(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, unlisted: "b"}
+		stop := startLeader(t, newLeader(newFixture(), engines))
+		time.Sleep(time.Second)
+		require.True(t, engines.switched())
+		stop()
+	})
+}
+
 // Guards against a leader that reports a group as closed because one rank did not respond: gateways would refuse
 // requests.
 func TestSilentRankDoesNotCloseTheGroup(t *testing.T) {
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -26,6 +26,9 @@
 type Member struct {
 	Upstream identifier.Upstream
 	Address  string
+	// Unlisted is set if another incarnation has the address and the platform does not list it yet. Orders then name no
+	// incarnation: a rank that belongs to another epoch rejects them.
+	Unlisted bool
 }
 
 // Group lists the members of one epoch of a group, ordered by rank.
