Compare the start of the first call that succeeds when the store returns

Cause: whether a gateway had lost the store alone was decided when its next response arrived. After an outage of the platform that response may wait 0.8 s for a change, while others are served; a trace of an outage of 20 s showed three gateways that took it for a loss of their own (only of the operators' table, whose deletions are not deferred). Change: the start of the successful call counts, which follows the last failed one within the longest backoff. Result: the added case fails before and passes after.

--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -34,9 +34,10 @@
 	// lostAloneAfter is how long after its own last response a process takes a response to another one as a sign that the
 	// platform is not down. It exceeds the time between two responses.
 	lostAloneAfter = 1500 * time.Millisecond
-	// lostAloneFor is how long before its own next response a process must have noticed that sign: when the platform
-	// returns, some processes receive a response before others.
-	lostAloneFor = time.Second
+	// lostAloneFor is how long before its next successful call a process must have noticed that sign. When the platform
+	// returns, others may receive a response while a call of this process still fails; the next one starts within
+	// maxBackoff.
+	lostAloneFor = maxBackoff + 200*time.Millisecond
 )
 
 // Store is the part of the platform's store that a Follower uses. Read returns all rows, Follow those that changed after
@@ -142,12 +143,13 @@
 
 // poll makes one call to the store and passes the rows to the replicator.
 func (f *Follower) poll(ctx context.Context) error {
+	started := time.Now()
 	if f.needsFullRead {
 		rows, version, err := f.cfg.Store.Read(ctx, f.cfg.Table)
 		if err != nil {
 			return err
 		}
-		f.recordSuccess()
+		f.recordSuccess(started)
 		f.cfg.Replicator.Replace(time.Now(), f.cfg.Table, rows, version, f.cfg.DeferDeletions)
 		f.needsFullRead, f.version = false, version
 		return nil
@@ -156,17 +158,18 @@
 	if err != nil {
 		return err
 	}
-	f.recordSuccess()
+	f.recordSuccess(started)
 	f.cfg.Replicator.Merge(time.Now(), f.cfg.Table, rows, f.cfg.DeferDeletions)
 	f.version = version
 	return nil
 }
 
-// recordSuccess updates the state after a response. It notifies the replicator if an outage of the platform has ended.
-func (f *Follower) recordSuccess() {
+// recordSuccess updates the state after the response to a call. It notifies the replicator if an outage of the platform
+// has ended.
+func (f *Follower) recordSuccess(started time.Time) {
 	now := time.Now()
 	outage := now.Sub(f.lastCurrent)
-	lostAlone := !f.lostAloneSince.IsZero() && now.Sub(f.lostAloneSince) >= lostAloneFor
+	lostAlone := !f.lostAloneSince.IsZero() && started.Sub(f.lostAloneSince) >= lostAloneFor
 	f.lastCurrent = now
 	f.lostAloneSince = time.Time{}
 	f.lastResponse.Store(&now)
--- a/internal/version/follower/follower_test.go
+++ b/internal/version/follower/follower_test.go
@@ -185,10 +185,13 @@
 		// peersServed is when the store responds to another gateway again, after its loss.
 		peersServed time.Duration
 		deferred    bool
+		// unchanged is how long after the return of the store the table does not change.
+		unchanged time.Duration
 	}{
 		"lost alone":                 {peersServed: 0, deferred: false},
 		"outage, others served":      {peersServed: 7500 * time.Millisecond, deferred: true},
 		"outage, others not served":  {peersServed: time.Hour, deferred: true},
+		"outage, response waits":     {peersServed: 7500 * time.Millisecond, deferred: true, unchanged: 1200 * time.Millisecond},
 		"others served long earlier": {peersServed: 4 * time.Second, deferred: false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -214,6 +217,7 @@
 				s.fail(replicator.ErrRefused)
 				time.Sleep(lostFor)
 				s.fail(nil)
+				time.Sleep(tt.unchanged)
 				s.remove("a")
 				time.Sleep(time.Second)
 				require.Equal(t, tt.deferred, len(r.Rows(table)) == 1)
