--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -79,10 +79,9 @@
 	targets map[string]*target
 	// summaries holds the latest summary of each relay of other failure domains.
 	summaries map[identifier.Node]Summary
-	// openedHere holds when gateways of the own domain last reported that the group of a service opened, and opened when
-	// any gateway did.
-	openedHere map[identifier.Service]time.Time
-	opened     map[identifier.Service]time.Time
+	// openedHere holds when gateways of the own domain last reported that a group opened, and opened when any gateway did.
+	openedHere map[identifier.GroupID]time.Time
+	opened     map[identifier.GroupID]time.Time
 	sequence   uint64
 	// groupsAt is when the leader sent the states of groups that were reported last.
 	groupsAt time.Time
@@ -98,8 +97,8 @@
 		peers:      map[identifier.Node]*Peer{},
 		targets:    map[string]*target{},
 		summaries:  map[identifier.Node]Summary{},
-		openedHere: map[identifier.Service]time.Time{},
-		opened:     map[identifier.Service]time.Time{},
+		openedHere: map[identifier.GroupID]time.Time{},
+		opened:     map[identifier.GroupID]time.Time{},
 	}
 }
 
@@ -205,10 +204,10 @@
 		previous.Resigned != d.State.Resigned || previous.StoreLost != d.State.StoreLost
 	// After a restart of the peer its counts start again and cannot be compared.
 	if previous != nil && previous.Incarnation == d.State.Incarnation {
-		for s, n := range d.State.GroupsOpened {
-			if n > previous.GroupsOpened[s] {
-				f.openedHere[s] = now
-				urgent = f.recordOpening(s, now) || urgent
+		for group, n := range d.State.GroupsOpened {
+			if n > previous.GroupsOpened[group] {
+				f.openedHere[group] = now
+				urgent = f.recordOpening(group, now) || urgent
 			}
 		}
 	}
@@ -263,15 +262,15 @@
 		f.reportGroups(s.Leader.HeardAt, s.Leader.Groups)
 	}
 	urgent := false
-	for service, at := range s.Opened {
-		urgent = f.recordOpening(service, at) || urgent
+	for group, at := range s.Opened {
+		urgent = f.recordOpening(group, at) || urgent
 	}
 	return urgent
 }
 
 // reportGroups reports the states of groups that a leader sent at a time, unless later ones were reported: a summary may
 // arrive after a newer datagram of the leader itself.
-func (f *Federator) reportGroups(at time.Time, groups map[identifier.Service]bool) {
+func (f *Federator) reportGroups(at time.Time, groups map[identifier.GroupID]bool) {
 	if !at.After(f.groupsAt) {
 		return
 	}
@@ -286,19 +285,19 @@
 	return b
 }
 
-// recordOpening records that the group of a service opened, and reports whether that is new.
-func (f *Federator) recordOpening(s identifier.Service, at time.Time) bool {
-	if at.Sub(f.opened[s]) <= openingTolerance {
+// recordOpening records that a group opened, and reports whether that is new.
+func (f *Federator) recordOpening(group identifier.GroupID, at time.Time) bool {
+	if at.Sub(f.opened[group]) <= openingTolerance {
 		return false
 	}
-	f.opened[s] = at
-	f.events = append(f.events, GroupOpened{s})
+	f.opened[group] = at
+	f.events = append(f.events, GroupOpened{group})
 	return true
 }
 
-// RecordOpening records that requests of this gateway showed that the closed group of a service works again.
-func (f *Federator) RecordOpening(now time.Time, s identifier.Service) {
-	f.openedHere[s], f.opened[s] = now, now
+// RecordOpening records that requests of this gateway showed that a closed group works again.
+func (f *Federator) RecordOpening(now time.Time, group identifier.GroupID) {
+	f.openedHere[group], f.opened[group] = now, now
 }
 
 // Compose returns the datagrams of one round. The state needs no Node, FailureDomain, Address, Incarnation, Sequence and
@@ -501,7 +500,7 @@
 func (f *Federator) summarize(now time.Time, own State) Summary {
 	s := Summary{
 		FailureDomain: f.cfg.FailureDomain, Relay: f.cfg.Node, Address: f.cfg.Address, ControlAddress: own.ControlAddress,
-		MadeAt: now, Versions: own.Versions, Running: map[identifier.Upstream]int{}, Opened: map[identifier.Service]time.Time{},
+		MadeAt: now, Versions: own.Versions, Running: map[identifier.Upstream]int{}, Opened: map[identifier.GroupID]time.Time{},
 		Demand: map[identifier.Service]float64{},
 	}
 	s.add(Peer{State: own, ReceivedAt: now})
@@ -510,9 +509,9 @@
 			s.add(*p)
 		}
 	}
-	for service, at := range f.openedHere {
+	for group, at := range f.openedHere {
 		if now.Sub(at) < removeAfter {
-			s.Opened[service] = at
+			s.Opened[group] = at
 		}
 	}
 	return s
@@ -589,6 +588,9 @@
 		}
 	}
 	maps.DeleteFunc(f.summaries, func(_ identifier.Node, s Summary) bool { return now.Sub(s.MadeAt) > removeAfter })
+	stale := func(_ identifier.GroupID, at time.Time) bool { return now.Sub(at) > forgetAfter }
+	maps.DeleteFunc(f.openedHere, stale)
+	maps.DeleteFunc(f.opened, stale)
 	maps.DeleteFunc(f.targets, func(_ string, t *target) bool { return now.Sub(t.heardAt) > forgetAfter })
 }
 
--- a/internal/connection/federator/federator_test.go
+++ b/internal/connection/federator/federator_test.go
@@ -14,12 +14,13 @@
 	"currantledge.example/currantledge/internal/version/replicator"
 )
 
+var group = identifier.GroupID{Service: "s", Group: "g"}
+
 const (
 	roundInterval = 200 * time.Millisecond
 	linkDelay     = 2 * time.Millisecond
 	lossRate      = 0.01
 	upstream      = identifier.Upstream("u")
-	service       = identifier.Service("s")
 )
 
 // simulation runs gateways in virtual time on a network that loses datagrams.
@@ -140,7 +141,7 @@
 func (g *gateway) state() federator.State {
 	return federator.State{
 		ControlAddress: g.address, Running: map[identifier.Upstream]int{upstream: g.running}, Leading: g.leading,
-		Groups: map[identifier.Service]bool{service: g.groupOpen}, GroupsOpened: map[identifier.Service]uint64{service: uint64(g.openings)},
+		Groups: map[identifier.GroupID]bool{group: g.groupOpen}, GroupsOpened: map[identifier.GroupID]uint64{group: uint64(g.openings)},
 		Versions: map[replicator.Table]uint64{"t": 1}, StoreAge: time.Millisecond,
 	}
 }
@@ -200,7 +201,7 @@
 		case federator.GroupOpened:
 			g.received++
 		case federator.GroupsReported:
-			g.reports = append(g.reports, e.Open[service])
+			g.reports = append(g.reports, e.Open[group])
 		case federator.PeerChanged:
 		}
 	}
@@ -365,7 +366,7 @@
 		s.run(4 * time.Second)
 		first := s.gateways[30]
 		first.openings++
-		first.federator.RecordOpening(s.now, service)
+		first.federator.RecordOpening(s.now, group)
 		first.broadcast()
 		s.run(20 * time.Millisecond)
 		early := 0
--- a/internal/connection/federator/state.go
+++ b/internal/connection/federator/state.go
@@ -25,13 +25,11 @@
 	Running map[identifier.Upstream]int
 	// Stopping is set while the gateway stops and accepts no new clients.
 	Stopping bool
-	// Leading is set for the leader of the expert maps. Only the leader sends Groups: whether the group of each service
-	// is open.
+	// Leading is set for the leader of the expert maps. Only the leader sends Groups: whether each group is open.
 	Leading bool
-	Groups  map[identifier.Service]bool
-	// GroupsOpened counts, for each service, how often the gateway's own requests showed that its closed group works
-	// again.
-	GroupsOpened map[identifier.Service]uint64
+	Groups  map[identifier.GroupID]bool
+	// GroupsOpened counts, for each group, how often the gateway's own requests showed that it works again.
+	GroupsOpened map[identifier.GroupID]uint64
 	// StoreLost is set while the platform's store does not respond to the gateway.
 	StoreLost bool
 	// StoreAge is the time since the platform's store last responded to the gateway, or 0 if it never did. It is sent in
@@ -78,7 +76,7 @@
 type Leader struct {
 	Node        identifier.Node
 	Incarnation identifier.Incarnation
-	Groups      map[identifier.Service]bool
+	Groups      map[identifier.GroupID]bool
 	// HeardAt is when a datagram of the leader last arrived at a gateway of its failure domain.
 	HeardAt time.Time
 }
@@ -105,8 +103,8 @@
 	Versions map[replicator.Table]uint64
 	// Leader is set if a gateway of the domain leads.
 	Leader *Leader
-	// Opened holds, for each service, when requests of the domain last showed that its closed group works again.
-	Opened map[identifier.Service]time.Time
+	// Opened holds, for each group, when requests of the domain last showed that it works again.
+	Opened map[identifier.GroupID]time.Time
 	// StoreRespondedAt is when the platform's store last responded to a gateway of the domain; zero if it never did.
 	StoreRespondedAt time.Time
 	// Resigned holds the versions of the lease row that gateways of the domain have resigned.
@@ -140,12 +138,12 @@
 // PeerChanged means that a peer appeared, restarted, fell silent, or sent again after it was silent.
 type PeerChanged struct{ Peer Peer }
 
-// GroupOpened means that requests of another gateway showed that the closed group of a service works again.
-type GroupOpened struct{ Service identifier.Service }
+// GroupOpened means that requests of another gateway showed that a closed group works again.
+type GroupOpened struct{ Group identifier.GroupID }
 
-// GroupsReported holds whether the group of each service is open, as the leader of the expert maps reports it.
+// GroupsReported holds whether each group is open, as the leader of the expert maps reports it.
 type GroupsReported struct {
-	Open map[identifier.Service]bool
+	Open map[identifier.GroupID]bool
 }
 
 // CrashesReported holds what another gateway knows of requests that crash upstreams.
--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -105,8 +105,8 @@
 		Running:        convert[string](s.Running),
 		Stopping:       s.Stopping,
 		Leading:        s.Leading,
-		Groups:         convert[string](s.Groups),
-		GroupsOpened:   convert[string](s.GroupsOpened),
+		Groups:         encodeGroups(s.Groups),
+		GroupsOpened:   encodeGroups(s.GroupsOpened),
 		StoreLost:      s.StoreLost,
 		StoreAgeMs:     uint64(s.StoreAge.Milliseconds()),
 		Resigned:       s.Resigned,
@@ -184,12 +184,12 @@
 	}
 	if l := s.Leader; l != nil {
 		w.Leader = &wireLeader{
-			Node: string(l.Node), Incarnation: uint64(l.Incarnation), Groups: convert[string](l.Groups),
+			Node: string(l.Node), Incarnation: uint64(l.Incarnation), Groups: encodeGroups(l.Groups),
 			AgeMs: now.Sub(l.HeardAt).Milliseconds(),
 		}
 	}
-	for service, at := range s.Opened {
-		w.OpenedAgesMs[string(service)] = now.Sub(at).Milliseconds()
+	for group, at := range s.Opened {
+		w.OpenedAgesMs[group.String()] = now.Sub(at).Milliseconds()
 	}
 	if !s.StoreRespondedAt.IsZero() {
 		w.StoreAgeMs = now.Sub(s.StoreRespondedAt).Milliseconds()
@@ -215,8 +215,8 @@
 			Running:        convert[identifier.Upstream](w.Running),
 			Stopping:       w.Stopping,
 			Leading:        w.Leading,
-			Groups:         convert[identifier.Service](w.Groups),
-			GroupsOpened:   convert[identifier.Service](w.GroupsOpened),
+			Groups:         decodeGroups(w.Groups),
+			GroupsOpened:   decodeGroups(w.GroupsOpened),
 			StoreLost:      w.StoreLost,
 			StoreAge:       time.Duration(w.StoreAgeMs) * time.Millisecond,
 			Resigned:       w.Resigned,
@@ -253,17 +253,17 @@
 		Running:        convert[identifier.Upstream](w.Running),
 		Demand:         convert[identifier.Service](w.Demand),
 		Versions:       convert[replicator.Table](w.Versions),
-		Opened:         map[identifier.Service]time.Time{},
+		Opened:         map[identifier.GroupID]time.Time{},
 		Resigned:       w.Resigned,
 	}
 	if l := w.Leader; l != nil {
 		s.Leader = &federator.Leader{
 			Node: identifier.Node(l.Node), Incarnation: identifier.Incarnation(l.Incarnation),
-			Groups: convert[identifier.Service](l.Groups), HeardAt: before(now, l.AgeMs),
+			Groups: decodeGroups(l.Groups), HeardAt: before(now, l.AgeMs),
 		}
 	}
-	for service, age := range w.OpenedAgesMs {
-		s.Opened[identifier.Service(service)] = before(now, age)
+	for group, age := range w.OpenedAgesMs {
+		s.Opened[identifier.ParseGroupID(group)] = before(now, age)
 	}
 	if w.StoreAgeMs >= 0 {
 		s.StoreRespondedAt = before(now, w.StoreAgeMs)
@@ -288,6 +288,24 @@
 	return out
 }
 
+// encodeGroups returns the map with its keys as text.
+func encodeGroups[Value any](in map[identifier.GroupID]Value) map[string]Value {
+	out := make(map[string]Value, len(in))
+	for id, v := range in {
+		out[id.String()] = v
+	}
+	return out
+}
+
+// decodeGroups returns the map with the keys that encodeGroups wrote.
+func decodeGroups[Value any](in map[string]Value) map[identifier.GroupID]Value {
+	out := make(map[identifier.GroupID]Value, len(in))
+	for text, v := range in {
+		out[identifier.ParseGroupID(text)] = v
+	}
+	return out
+}
+
 // convertAll returns the texts converted to another string type.
 func convertAll[To, From ~string](in []From) []To {
 	out := make([]To, len(in))
--- a/internal/connection/gossiper/gossiper.go
+++ b/internal/connection/gossiper/gossiper.go
@@ -196,11 +196,11 @@
 	}
 }
 
-// RecordOpening records that requests of this gateway showed that the closed group of a service works again.
-func (g *Gossiper) RecordOpening(s identifier.Service) {
+// RecordOpening records that requests of this gateway showed that a closed group works again.
+func (g *Gossiper) RecordOpening(group identifier.GroupID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.federator.RecordOpening(time.Now(), s)
+	g.federator.RecordOpening(time.Now(), group)
 }
 
 // Incarnation returns the incarnation of this gateway.
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -30,6 +30,7 @@
 	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/follower"
+	"currantledge.example/currantledge/internal/version/grouper"
 	"currantledge.example/currantledge/internal/version/mapleader"
 	"currantledge.example/currantledge/internal/version/replicator"
 	"currantledge.example/currantledge/platform"
@@ -195,6 +196,7 @@
 		StoreServesPeers: g.storeServesPeers,
 		PlatformDown:     g.platformDown,
 		OnGroupState:     g.groups.observe,
+		OnGroupFound:     g.recordGroup,
 		Log:              g.log,
 		Meter:            g.meter,
 	})
@@ -235,6 +237,7 @@
 	s.Versions = map[replicator.Table]uint64{
 		platform.OperatorTable: g.replicator.Version(platform.OperatorTable),
 		platform.UpstreamTable: g.replicator.Version(platform.UpstreamTable),
+		grouper.Table:          g.replicator.Version(grouper.Table),
 	}
 	s.StoreLost = g.operatorFollower.StoreLost()
 	s.StoreAge = g.storeAge()
@@ -265,11 +268,11 @@
 	case federator.LimitsReported:
 		g.mergeLimits(e)
 	case federator.GroupOpened:
-		g.leader.GroupOpened(e.Service)
-		g.admitter.GroupOpened(time.Now(), e.Service)
+		g.leader.GroupOpened(e.Group)
+		g.admitter.GroupOpened(time.Now(), e.Group)
 	case federator.GroupsReported:
-		for s, open := range e.Open {
-			g.groups.observe(s, open)
+		for id, open := range e.Open {
+			g.groups.observe(id, open)
 		}
 	}
 }
@@ -392,6 +395,17 @@
 		Dur("ageMs", time.Since(p.ReceivedAt)).Uint64("incarnation", uint64(p.Incarnation)).Send()
 }
 
+// recordGroup records the ranks of a group that the leader of the expert maps has discovered. Peers pull the row.
+func (g *gateway) recordGroup(id identifier.GroupID, addresses []string, version uint64) {
+	rows, err := grouper.Update(g.replicator.Rows(grouper.Table), g.fleet.Load().Upstreams,
+		grouper.Membership{ID: id, Addresses: addresses}, version)
+	if err != nil {
+		g.log.Event(logger.EventRowInvalid).AnErr("error", err).Send()
+		return
+	}
+	g.replicator.Merge(time.Now(), grouper.Table, rows, false)
+}
+
 // handleGroupChange logs that a group opened or closed. If requests of this gateway showed that the group works again,
 // it also notifies the peers and the leader of the expert maps.
 func (g *gateway) handleGroupChange(c admitter.GroupChange) {
@@ -399,12 +413,13 @@
 	if c.Closed {
 		event = logger.EventGroupClosed
 	}
-	g.log.Event(event).Str("service", string(c.Service)).Str("cause", string(c.Cause)).Dur("closedMs", c.ClosedFor).Send()
+	g.log.Event(event).Str("service", string(c.Group.Service)).Str("group", string(c.Group.Group)).
+		Str("cause", string(c.Cause)).Dur("closedMs", c.ClosedFor).Send()
 	if !c.Closed && c.Cause == admitter.CauseProgress {
-		g.groups.countOpening(c.Service)
-		g.gossiper.RecordOpening(c.Service)
+		g.groups.countOpening(c.Group)
+		g.gossiper.RecordOpening(c.Group)
 		g.gossiper.Broadcast()
-		g.leader.GroupOpened(c.Service)
+		g.leader.GroupOpened(c.Group)
 	}
 }
 
@@ -419,10 +434,12 @@
 		previous := g.fleet.Load()
 		fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
 			g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
+		problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
 		for _, p := range problems {
 			g.log.Event(logger.EventRowInvalid).AnErr("error", p).Send()
 		}
 		g.fleet.Store(&fleet)
+		g.groups.retain(fleet.Upstreams)
 		g.admitter.SetFleet(time.Now(), fleet)
 		version := uint64(0)
 		if fleet.Catalogue != nil {
@@ -456,14 +473,14 @@
 
 // pull starts pulling the rows of each table of which a peer has a higher version.
 func (g *gateway) pull(ctx context.Context, now time.Time) {
-	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable} {
+	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable, grouper.Table} {
 		own := g.replicator.Version(t)
 		source := g.pullSource(t, own)
 		last, wasBehind := g.lastPull[t]
 		switch {
 		case source == "":
 			delete(g.lastPull, t)
-		case !wasBehind && g.shouldFollow():
+		case !wasBehind && t != grouper.Table && g.shouldFollow():
 			// The store's own response is probably on its way; the pull is due after pullDelay.
 			g.lastPull[t] = now.Add(pullDelay - pullInterval)
 		case !wasBehind || now.Sub(last) >= pullInterval:
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -9,6 +9,7 @@
 	"currantledge.example/currantledge/internal/connection/federator"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
 // groupStates applies the group states that the leader of the expert maps observes to the admitter. Only changes of a
@@ -16,47 +17,60 @@
 type groupStates struct {
 	admitter *admitter.Admitter
 	mu       sync.Mutex
-	open     map[identifier.Service]bool
-	// openings counts, for each service, how often requests of this gateway showed that its closed group works again.
-	openings map[identifier.Service]uint64
+	open     map[identifier.GroupID]bool
+	// openings counts, for each group, how often requests of this gateway showed that it works again.
+	openings map[identifier.GroupID]uint64
 }
 
 func newGroupStates(a *admitter.Admitter) *groupStates {
-	return &groupStates{admitter: a, open: map[identifier.Service]bool{}, openings: map[identifier.Service]uint64{}}
+	return &groupStates{admitter: a, open: map[identifier.GroupID]bool{}, openings: map[identifier.GroupID]uint64{}}
 }
 
-// countOpening records that requests of this gateway showed that the closed group of a service works again.
-func (g *groupStates) countOpening(s identifier.Service) {
+// countOpening records that requests of this gateway showed that a closed group works again.
+func (g *groupStates) countOpening(id identifier.GroupID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.openings[s]++
+	g.openings[id]++
 }
 
 // openingCounts returns a copy of the counts that the gateway sends to its peers.
-func (g *groupStates) openingCounts() map[identifier.Service]uint64 {
+func (g *groupStates) openingCounts() map[identifier.GroupID]uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return maps.Clone(g.openings)
 }
 
-// observe records whether the group of a service is open, and notifies the admitter if that has changed.
-func (g *groupStates) observe(s identifier.Service, open bool) {
+// observe records whether a group is open, and notifies the admitter if that has changed.
+func (g *groupStates) observe(id identifier.GroupID, open bool) {
 	g.mu.Lock()
-	was, known := g.open[s]
-	g.open[s] = open
+	was, known := g.open[id]
+	g.open[id] = open
 	g.mu.Unlock()
 	if known && was == open {
 		return
 	}
 	if open {
-		g.admitter.GroupOpened(time.Now(), s)
+		g.admitter.GroupOpened(time.Now(), id)
 		return
 	}
-	g.admitter.GroupClosed(time.Now(), s)
+	g.admitter.GroupClosed(time.Now(), id)
 }
 
-// states returns a copy of the last observed states: whether the group of each service is open.
-func (g *groupStates) states() map[identifier.Service]bool {
+// retain forgets the groups that none of the upstreams belongs to.
+func (g *groupStates) retain(upstreams []cataloguer.Upstream) {
+	known := map[identifier.GroupID]bool{}
+	for _, u := range upstreams {
+		known[identifier.GroupID{Service: u.Service}] = true
+		known[identifier.GroupID{Service: u.Service, Group: u.Group}] = true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.open, func(id identifier.GroupID, _ bool) bool { return !known[id] })
+	maps.DeleteFunc(g.openings, func(id identifier.GroupID, _ uint64) bool { return !known[id] })
+}
+
+// states returns a copy of the last observed states: whether each group is open.
+func (g *groupStates) states() map[identifier.GroupID]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return maps.Clone(g.open)
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -73,6 +73,7 @@
 	EventLinesDropped         Event = 730
 	EventSettingsReloaded     Event = 731
 	EventSeedInvalid          Event = 732
+	EventGroupFound           Event = 733
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -139,6 +140,7 @@
 	EventUpstreamCrashed:      {zerolog.WarnLevel, "upstream crashed before it answered a request"},
 	EventCrashReported:        {zerolog.InfoLevel, "crash of an upstream learned from a peer"},
 	EventUpstreamRateChanged:  {zerolog.InfoLevel, "rate limit of an upstream changed"},
+	EventGroupFound:           {zerolog.InfoLevel, "model group found"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -1,8 +1,8 @@
 // Package admitter is the admission control of a gateway: it decides for each request which upstream receives it,
 // whether it waits, and whether it is refused. It handles four kinds of load:
 //   - A burst exceeds the slots of a service: requests wait in order of priority as long as they can be served in time.
-//   - A group of ranks is closed for some seconds: requests that cannot be served in time are refused at once with a
-//     Retry-After.
+//   - A group of ranks is closed for some seconds: the other groups of its service get the requests. Those that cannot be
+//     served in time are refused at once with a Retry-After.
 //   - A group opens and every gateway has a backlog: the requests that wait for their first byte are limited, free slots
 //     are divided among the gateways, and some slots are reserved for requests that can still be on time.
 //   - Upstreams name rate limits: the gateways divide them by their demand.
@@ -43,6 +43,9 @@
 	// probeInterval is the time between two requests that probe a closed group, over all gateways. Each failed probe
 	// costs a retry; the first gateway whose probe succeeds notifies the others.
 	probeInterval = 45 * time.Millisecond
+	// sparedProbeInterval replaces probeInterval while other groups can accept the request: a probe may cost it time, and
+	// the leader of the expert maps reports the opening as well.
+	sparedProbeInterval = time.Second
 	// peerReportLag is the maximum age of a peer's report that a group is closed: 500 ms for the reports of ranks and three
 	// rounds of datagrams.
 	peerReportLag = 1100 * time.Millisecond
@@ -77,20 +80,8 @@
 	serviceTime time.Duration
 	// queue holds the waiting requests; sortQueue orders it.
 	queue []*Ticket
-	// lastProgress is when a request of this gateway last received data.
-	lastProgress time.Time
-	// closed is set while the group of the service runs no requests.
-	closed      bool
-	closedSince time.Time
-	// openedAt is when the closed group opened last.
-	openedAt time.Time
-	// lastProbe is when this gateway last probed the closed group. When the group closes, it is set to a random time within
-	// the preceding probe interval.
-	lastProbe time.Time
-	// expectedOutage is the moving average of the time for which the group was closed.
-	expectedOutage time.Duration
-	window         startWindow
-	allotment      allotment
+	// groups holds the groups of the service's upstreams. A plain service has one, which is always open.
+	groups map[identifier.ModelGroup]*group
 	// demand is the rate of requests at this gateway, and peerDemand that at others.
 	demand     demand
 	peerDemand peerDemand
@@ -106,7 +97,7 @@
 	ColdSlack  float64
 	// Draw returns uniform random numbers in [0, 1) for sampling and tie-breaking; math/rand/v2 if it is nil.
 	Draw func() float64
-	// OnGroupChange is called, without the lock held, when the group of a service closes or opens.
+	// OnGroupChange is called, without the lock held, when a group closes or opens.
 	OnGroupChange func(GroupChange)
 }
 
@@ -186,6 +177,7 @@
 			u.Draining = true
 		}
 	}
+	a.assignGroups()
 	markSuperseded(a.upstreams)
 	a.limiter.Retain(now, func(id identifier.Upstream) bool { return a.upstreams[id] != nil })
 	a.dispatch(now)
@@ -214,7 +206,9 @@
 		u.peerRunning = running[id]
 	}
 	for _, s := range a.services {
-		a.allot(now, s)
+		for _, g := range s.groups {
+			a.allot(now, s, g)
+		}
 	}
 	a.dispatch(now)
 }
@@ -283,7 +277,7 @@
 	defer a.unlock()
 	if g.firstByte.pending {
 		g.firstByte.pending = false
-		a.service(g.Upstream.Service).window.observeFirstByte(now, now.Sub(g.firstByte.since))
+		g.firstByte.window.observeFirstByte(now, now.Sub(g.firstByte.since))
 	}
 	a.dispatch(now)
 }
@@ -295,7 +289,7 @@
 	s := a.service(g.Upstream.Service)
 	if g.firstByte.pending {
 		g.firstByte.pending = false
-		s.window.starting--
+		g.firstByte.window.starting--
 	}
 	u, found := a.upstreams[g.Upstream.ID]
 	if !found {
@@ -304,7 +298,7 @@
 	u.running = max(u.running-1, 0)
 	switch r := feedback.(type) {
 	case Served:
-		a.openGroup(now, s, CauseProgress)
+		a.openGroup(now, s, u.group, CauseProgress)
 		u.backoff = 0
 		u.recordFailures(now, 0)
 		u.firstByte = smooth(u.firstByte, r.FirstByte)
@@ -319,7 +313,7 @@
 		u.backoffUntil = now.Add(rejectionBackoff)
 		// A rank with free slots rejects requests only while its group is closed.
 		if r.LoadKnown && r.Load.Running < r.Load.Slots && r.Load.Waiting == 0 {
-			a.closeGroup(now, s, CauseRejection)
+			a.closeGroup(now, s, u.group, CauseRejection)
 		}
 	case Replaced:
 		u.replaced = true
@@ -333,7 +327,10 @@
 func (a *Admitter) service(name identifier.Service) *service {
 	s, found := a.services[name]
 	if !found {
-		s = &service{Service: cataloguer.Service{Name: name}, serviceTime: defaultServiceTime, expectedOutage: defaultOutage}
+		s = &service{
+			Service: cataloguer.Service{Name: name}, serviceTime: defaultServiceTime,
+			groups: map[identifier.ModelGroup]*group{},
+		}
 		a.services[name] = s
 	}
 	return s
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -19,6 +19,9 @@
 	shop  = identifier.Service("shop")
 )
 
+// modelGroup is the group of the model while the gateway does not know its name.
+var modelGroup = identifier.GroupID{Service: model}
+
 var start = time.Unix(1000, 0)
 
 // fixture is an admitter together with the fleet that it knows.
@@ -130,7 +133,7 @@
 		} else {
 			f.Withdraw(now, ticket)
 		}
-		f.RecordProgress(now, model)
+		f.RecordProgress(now, "x")
 	}
 	// The limit is 1.5 × 10 + 5 requests in the second; each of the 4 gateways may exceed its part by one.
 	require.LessOrEqual(t, 4*count, 24)
@@ -142,11 +145,11 @@
 func TestRequestsThatCanBeOnTimeGoFirst(t *testing.T) {
 	t.Parallel()
 	f := newFixture(upstream("x", model, 1))
-	f.RecordProgress(start, model)
+	f.RecordProgress(start, "x")
 	first := requireGranted(t, f.Submit(start, request(model, start)))
 	late := f.Submit(start, request(model, start))
 	now := start.Add(300 * time.Millisecond)
-	f.RecordProgress(now, model)
+	f.RecordProgress(now, "x")
 	fresh := f.Submit(now, request(model, now))
 	f.Done(now, first, admitter.Served{FirstByte: time.Millisecond, Total: time.Millisecond})
 	second := requireGranted(t, fresh)
@@ -190,7 +193,7 @@
 	retry.NoClientRetry = true
 	waiting := f.Submit(start, retry)
 	require.Nil(t, decision(waiting))
-	f.GroupOpened(start.Add(time.Second), model)
+	f.GroupOpened(start.Add(time.Second), modelGroup)
 	requireGrantedUpstream(t, waiting)
 }
 
@@ -210,13 +213,13 @@
 	for range 3 {
 		f.RecordFirstByte(start, requireGranted(t, f.Submit(start, request(model, start))))
 	}
-	f.RecordProgress(start, model)
+	f.RecordProgress(start, "x")
 	now := start.Add(700 * time.Millisecond)
 	retry := request(model, now)
 	retry.NoClientRetry = true
 	ticket := f.Submit(now, retry)
 	require.Nil(t, decision(ticket))
-	f.RecordProgress(now, model)
+	f.RecordProgress(now, "x")
 	f.Tick(now)
 	requireGrantedUpstream(t, ticket)
 }
@@ -280,7 +283,7 @@
 	t.Parallel()
 	f := newFixture(upstream("x", model, 100), upstream("y", model, 100))
 	f.SetGateways(2)
-	f.GroupClosed(start, model)
+	f.GroupClosed(start, modelGroup)
 	now := start.Add(time.Second)
 	submit := func() *admitter.Ticket {
 		r := request(model, now)
@@ -305,7 +308,7 @@
 		return out
 	}
 	starting := takeGranted()
-	f.GroupOpened(now, model)
+	f.GroupOpened(now, modelGroup)
 	starting = append(starting, takeGranted()...)
 	require.Len(t, starting, 2)
 
@@ -314,7 +317,7 @@
 			waiting = append(waiting, submit())
 		}
 		now = now.Add(firstByte)
-		f.RecordProgress(now, model)
+		f.RecordProgress(now, "x")
 		for _, g := range starting {
 			f.RecordFirstByte(now, g)
 		}
@@ -392,7 +395,7 @@
 					}
 				}
 			}
-			f.RecordProgress(now, model)
+			f.RecordProgress(now, "rank0")
 			f.SetPeerRunning(now, peerRunning)
 			for len(waiting[i]) < 60 {
 				r := request(model, now)
@@ -461,7 +464,7 @@
 	f := newFixture(upstream("x", model, 40))
 	f.SetGateways(8)
 	for range 20 {
-		f.RecordProgress(start, model)
+		f.RecordProgress(start, "x")
 		requireGrantedUpstream(t, f.Submit(start, request(model, start)))
 	}
 }
@@ -500,15 +503,15 @@
 		f.Withdraw(now, ticket)
 		return true
 	}
-	f.GroupClosed(now, model)
+	f.GroupClosed(now, modelGroup)
 	require.True(t, closed())
 	now = now.Add(3 * time.Second)
-	f.GroupOpened(now, model)
+	f.GroupOpened(now, modelGroup)
 	now = now.Add(time.Second)
-	f.GroupClosed(now, model)
+	f.GroupClosed(now, modelGroup)
 	require.False(t, closed())
 	now = now.Add(200 * time.Millisecond)
-	f.GroupClosed(now, model)
+	f.GroupClosed(now, modelGroup)
 	require.True(t, closed())
 }
 
@@ -519,7 +522,7 @@
 	f := newFixture(upstream("x", model, 1))
 	f.SetGateways(40)
 	running := requireGranted(t, f.Submit(start, request(model, start)))
-	f.GroupClosed(start, model)
+	f.GroupClosed(start, modelGroup)
 	now := start.Add(3 * time.Second)
 	retry := request(model, now)
 	retry.NoClientRetry = true
@@ -547,7 +550,7 @@
 		waiting := f.Submit(start, isolated)
 		require.Nil(t, decision(waiting))
 		requireGranted(t, f.Submit(start, request(model, start)))
-		f.GroupClosed(start.Add(2*time.Second), model)
+		f.GroupClosed(start.Add(2*time.Second), modelGroup)
 		again := request(model, start.Add(3*time.Second))
 		again.IsolateBy, again.NoClientRetry = "another", true
 		require.Nil(t, decision(f.Submit(start.Add(3*time.Second), again)))
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -39,15 +39,15 @@
 	return float64(running+1) <= float64(l.limit)*(1-onTimeReserve) && l.freeShare > onTimeReserve
 }
 
-// allot recomputes the allotment of a service from the counts of peers, at most once per allotInterval.
-func (a *Admitter) allot(now time.Time, s *service) {
-	if s.Engine == nil || now.Sub(s.allotment.computedAt) < allotInterval {
+// allot recomputes the allotment of a group from the counts of peers, at most once per allotInterval.
+func (a *Admitter) allot(now time.Time, s *service, g *group) {
+	if s.Engine == nil || now.Sub(g.allotment.computedAt) < allotInterval {
 		return
 	}
 	var usable []*upstream
 	total, own, peers := 0, 0, 0
 	for _, u := range a.upstreams {
-		if u.Service != s.Name {
+		if u.group != g {
 			continue
 		}
 		own += u.running
@@ -72,5 +72,5 @@
 	for ; limit < minLimit && len(usable) > 0; limit++ {
 		usable[int(a.cfg.Draw()*float64(len(usable)))].limit++
 	}
-	s.allotment = allotment{limit: limit, freeShare: float64(total-own-peers) / float64(max(total, 1)), computedAt: now}
+	g.allotment = allotment{limit: limit, freeShare: float64(total-own-peers) / float64(max(total, 1)), computedAt: now}
 }
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -41,6 +41,8 @@
 // firstByteWait is the state of a granted request before the first byte of its response. The lock of the Admitter guards
 // it.
 type firstByteWait struct {
+	// window is that of the group.
+	window *startWindow
 	// pending is set while the request counts in startWindow.starting, which only streams of a group do.
 	pending bool
 	// since is the time of the grant.
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"maps"
 	"time"
 
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -21,9 +22,9 @@
 	CausePeer Cause = "peer"
 )
 
-// GroupChange is the closing or opening of the group of a service.
+// GroupChange is the closing or opening of a group.
 type GroupChange struct {
-	Service identifier.Service
+	Group identifier.GroupID
 	// Closed is false if the group opened.
 	Closed bool
 	Cause  Cause
@@ -31,86 +32,174 @@
 	ClosedFor time.Duration
 }
 
-// RecordProgress records that a stream of a service received data, which opens the group.
-func (a *Admitter) RecordProgress(now time.Time, name identifier.Service) {
+// group is the state of a group of ranks as this gateway knows it. The ranks run their steps together, so they fail and
+// recover together.
+type group struct {
+	name identifier.ModelGroup
+	// lastProgress is when a request of this gateway last received data.
+	lastProgress time.Time
+	// closed is set while the group runs no requests.
+	closed      bool
+	closedSince time.Time
+	// openedAt is when the closed group opened last.
+	openedAt time.Time
+	// lastProbe is when this gateway last probed the closed group. When the group closes, it is set to a random time within
+	// the preceding probe interval.
+	lastProbe time.Time
+	// expectedOutage is the moving average of the time for which the group was closed.
+	expectedOutage time.Duration
+	window         *startWindow
+	allotment      allotment
+}
+
+// newGroup returns a group that is open, or one in the state of the group to which its ranks belonged before.
+func newGroup(name identifier.ModelGroup, previous *group) *group {
+	g := &group{expectedOutage: defaultOutage}
+	if previous != nil {
+		*g = *previous
+	}
+	g.name, g.window = name, &startWindow{}
+	return g
+}
+
+// assignGroups sets the groups of all upstreams and removes groups without upstreams. Ranks that move to a new group, as
+// all do when the gateway learns the groups of a service, keep the state of their former one.
+func (a *Admitter) assignGroups() {
+	used := map[*group]bool{}
+	for _, u := range a.upstreams {
+		s := a.service(u.Service)
+		g, found := s.groups[u.Group]
+		if !found {
+			g = newGroup(u.Group, u.group)
+			s.groups[u.Group] = g
+		}
+		u.group = g
+		used[g] = true
+	}
+	for _, s := range a.services {
+		maps.DeleteFunc(s.groups, func(_ identifier.ModelGroup, g *group) bool { return !used[g] })
+	}
+}
+
+// findGroup returns the group with an id, or nil. Gateways learn at different times which groups a service has: a report
+// from before or after that concerns the only group.
+func (s *service) findGroup(id identifier.GroupID) *group {
+	if g, found := s.groups[id.Group]; found {
+		return g
+	}
+	for name, g := range s.groups {
+		if len(s.groups) == 1 && (name == "" || id.Group == "") {
+			return g
+		}
+	}
+	return nil
+}
+
+// RecordProgress records that a stream from an upstream received data, which opens its group.
+func (a *Admitter) RecordProgress(now time.Time, id identifier.Upstream) {
 	a.mu.Lock()
 	defer a.unlock()
-	s := a.service(name)
-	s.lastProgress = now
-	a.openGroup(now, s, CauseProgress)
+	u, found := a.upstreams[id]
+	if !found {
+		return
+	}
+	u.group.lastProgress = now
+	a.openGroup(now, a.service(u.Service), u.group, CauseProgress)
 }
 
 // stalled reports whether a group that runs at least minStalledRequests requests of this gateway has produced no data for
 // stallTimeout. The ranks of such a group wait for a rank that is gone, and reject new requests only once its loss is
 // certain.
-func (a *Admitter) stalled(now time.Time, s *service) bool {
-	if s.Engine == nil || now.Sub(s.lastProgress) < stallTimeout {
+func (a *Admitter) stalled(now time.Time, s *service, g *group) bool {
+	if s.Engine == nil || now.Sub(g.lastProgress) < stallTimeout {
 		return false
 	}
-	return a.running(s) >= minStalledRequests
+	return a.running(g) >= minStalledRequests
 }
 
-// running returns the number of requests that this gateway runs on the upstreams of a service.
-func (a *Admitter) running(s *service) int {
+// running returns the number of requests that this gateway runs on the upstreams of a group.
+func (a *Admitter) running(g *group) int {
 	running := 0
 	for _, u := range a.upstreams {
-		if u.Service == s.Name {
+		if u.group == g {
 			running += u.running
 		}
 	}
 	return running
 }
 
-// GroupOpened records the report of a peer that the group of a service is open again.
-func (a *Admitter) GroupOpened(now time.Time, name identifier.Service) {
+// GroupOpened records the report of a peer that a group is open again.
+func (a *Admitter) GroupOpened(now time.Time, id identifier.GroupID) {
 	a.mu.Lock()
 	defer a.unlock()
-	a.openGroup(now, a.service(name), CausePeer)
+	s := a.service(id.Service)
+	if g := s.findGroup(id); g != nil {
+		a.openGroup(now, s, g, CausePeer)
+	}
 	a.dispatch(now)
 }
 
-// GroupClosed records the report of a peer that the group of a service is closed. Such a report may be older than an
-// opening of the group; if the group has closed again since, stalls and rejections show it.
-func (a *Admitter) GroupClosed(now time.Time, name identifier.Service) {
+// GroupClosed records the report of a peer that a group is closed. Such a report may be older than an opening of the
+// group; if the group has closed again since, stalls and rejections show it.
+func (a *Admitter) GroupClosed(now time.Time, id identifier.GroupID) {
 	a.mu.Lock()
 	defer a.unlock()
-	s := a.service(name)
-	if now.Sub(s.openedAt) < peerReportLag {
+	s := a.service(id.Service)
+	g := s.findGroup(id)
+	if g == nil || now.Sub(g.openedAt) < peerReportLag {
 		return
 	}
-	a.closeGroup(now, s, CausePeer)
+	a.closeGroup(now, s, g, CausePeer)
+	a.dispatch(now)
 }
 
-// closeGroup restricts a service to probes. It does nothing if the service has no group or its group is closed already.
-func (a *Admitter) closeGroup(now time.Time, s *service, cause Cause) {
-	if s.closed || s.Engine == nil {
+// closeGroup restricts a group to probes. It does nothing if the service has no groups of ranks or the group is closed
+// already.
+func (a *Admitter) closeGroup(now time.Time, s *service, g *group, cause Cause) {
+	if g.closed || s.Engine == nil {
 		return
 	}
-	s.closed = true
-	s.closedSince = now
+	g.closed = true
+	g.closedSince = now
 	// The random offset spreads the probes of gateways that closed the group at the same time.
-	s.lastProbe = now.Add(-time.Duration(a.cfg.Draw() * float64(a.ownProbeInterval())))
-	change := GroupChange{Service: s.Name, Closed: true, Cause: cause}
+	g.lastProbe = now.Add(-time.Duration(a.cfg.Draw() * float64(a.ownInterval(probeInterval))))
+	change := GroupChange{Group: identifier.GroupID{Service: s.Name, Group: g.name}, Closed: true, Cause: cause}
 	a.pendingNotifications = append(a.pendingNotifications, func() { a.cfg.OnGroupChange(change) })
 }
 
-// ownProbeInterval returns the time between two requests of this gateway that probe a closed group.
-func (a *Admitter) ownProbeInterval() time.Duration {
-	return time.Duration(a.gateways) * probeInterval
+// ownInterval returns the time between two probes of this gateway, given that between two probes of any gateway.
+func (a *Admitter) ownInterval(interval time.Duration) time.Duration {
+	return time.Duration(a.gateways) * interval
 }
 
 // openGroup ends the restriction to probes. It does nothing if the group is open already.
-func (a *Admitter) openGroup(now time.Time, s *service, cause Cause) {
-	if !s.closed {
+func (a *Admitter) openGroup(now time.Time, s *service, g *group, cause Cause) {
+	if !g.closed {
 		return
 	}
-	s.closed = false
-	s.openedAt = now
-	s.window.reset()
-	s.allotment = allotment{}
-	a.allot(now, s)
-	closedFor := now.Sub(s.closedSince)
-	s.expectedOutage += time.Duration(outageSmoothing * float64(closedFor-s.expectedOutage))
-	change := GroupChange{Service: s.Name, Cause: cause, ClosedFor: closedFor}
+	g.closed = false
+	g.openedAt = now
+	g.window.reset()
+	g.allotment = allotment{}
+	a.allot(now, s, g)
+	closedFor := now.Sub(g.closedSince)
+	g.expectedOutage += time.Duration(outageSmoothing * float64(closedFor-g.expectedOutage))
+	change := GroupChange{Group: identifier.GroupID{Service: s.Name, Group: g.name}, Cause: cause, ClosedFor: closedFor}
 	a.pendingNotifications = append(a.pendingNotifications, func() { a.cfg.OnGroupChange(change) })
 }
+
+// remainingOutage returns the estimated time until the first group of a service opens, and whether all are closed. A group
+// is assumed to stay closed for at least half of the time that it has been closed already.
+func (s *service) remainingOutage(now time.Time) (time.Duration, bool) {
+	least, known := time.Duration(0), false
+	for _, g := range s.groups {
+		if !g.closed {
+			return 0, false
+		}
+		elapsed := now.Sub(g.closedSince)
+		if remaining := max(g.expectedOutage-elapsed, elapsed/2); !known || remaining < least {
+			least, known = remaining, true
+		}
+	}
+	return least, known
+}
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -8,20 +8,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// choose returns the best upstream of a random sample of those that can accept the request, or nil. The counts of other
+// choose returns the best upstream of a random sample of those in some groups that can accept the request, or nil. The counts of other
 // gateways are some hundred milliseconds old: if every gateway chose the best of all, many would choose the same one at
 // the same time.
-func (a *Admitter) choose(now time.Time, s *service, request Request) *upstream {
+func (a *Admitter) choose(now time.Time, s *service, request Request, groups map[*group]bool) *upstream {
 	if request.IsolateBy != "" {
 		u := a.isolationUpstream(request)
-		if u == nil || !a.accepts(now, s, u, request) {
+		if u == nil || !groups[u.group] || !a.accepts(now, s, u, request) {
 			return nil
 		}
 		return u
 	}
 	var accepting []*upstream
 	for _, u := range a.upstreams {
-		if u.Service == request.Service && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u, request) {
+		if u.Service == request.Service && groups[u.group] && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u, request) {
 			accepting = append(accepting, u)
 		}
 	}
@@ -62,7 +62,7 @@
 // allotment, no backoff, and its rate limit allows a request, if it has one or is cold.
 func (a *Admitter) accepts(now time.Time, s *service, u *upstream, request Request) bool {
 	full := u.running+u.peerRunning >= u.Slots
-	if !s.allotment.computedAt.IsZero() {
+	if !u.group.allotment.computedAt.IsZero() {
 		full = u.running >= u.limit
 	}
 	if full || now.Before(u.backoffUntil) {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -61,46 +61,77 @@
 	}
 }
 
-// grant assigns the request to an upstream if one can accept it now, and reports whether it did. It closes the group of
-// the service if the group has stalled. While the group is closed it grants only probes.
+// grant assigns the request to an upstream if one can accept it now, and reports whether it did. It closes groups that
+// have stalled. A closed group gets only probes.
 func (a *Admitter) grant(now time.Time, s *service, t *Ticket) bool {
-	if !s.closed && a.stalled(now, s) {
-		a.closeGroup(now, s, CauseStall)
-	}
-	if s.closed && (t.isIsolated() || now.Sub(s.lastProbe) < a.ownProbeInterval()) {
-		return false
+	open := make(map[*group]bool, len(s.groups))
+	for _, g := range s.groups {
+		if !g.closed && a.stalled(now, s, g) {
+			a.closeGroup(now, s, g, CauseStall)
+		}
+		open[g] = !g.closed && a.allowsStart(now, s, g, t)
 	}
-	isStart := s.Engine != nil && t.request.Stream
-	if isStart && !s.window.allows(a.startShare(s)) || !s.allotment.allows(a.running(s), t.lateness(now) > 0) {
-		return false
+	best := a.choose(now, s, t.request, open)
+	// A request whose client does not retry is not risked on a closed group while another one accepts it.
+	if !t.isIsolated() && (best == nil || !t.request.NoClientRetry) {
+		interval := probeInterval
+		if best != nil {
+			interval = sparedProbeInterval
+		}
+		if probed := a.chooseProbed(now, s, t, interval); probed != nil {
+			best = probed
+			best.group.lastProbe = now
+		}
 	}
-	best := a.choose(now, s, t.request)
 	if best == nil {
 		return false
 	}
-	if s.closed {
-		s.lastProbe = now
-	}
 	load := best.running + best.peerRunning
-	if a.running(s) == 0 {
+	if a.running(best.group) == 0 {
 		// Without running requests there was no progress to observe; the stall timeout starts now.
-		s.lastProgress = now
+		best.group.lastProgress = now
 	}
 	best.running++
+	isStart := s.Engine != nil && t.request.Stream
 	if isStart {
-		s.window.starting++
+		best.group.window.starting++
 	}
 	a.limiter.Take(best.ID, a.demandShare(now, s))
 	best.coldPacer.nextSend = now.Add(a.coldInterval(s))
-	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, firstByte: &firstByteWait{pending: isStart, since: now}})
+	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, firstByte: &firstByteWait{pending: isStart, since: now, window: best.group.window}})
 	return true
 }
 
+// allowsStart reports whether a group may get one more request of this gateway, whichever of its ranks receives it.
+func (a *Admitter) allowsStart(now time.Time, s *service, g *group, t *Ticket) bool {
+	if s.Engine != nil && t.request.Stream && !g.window.allows(a.startShare(g)) {
+		return false
+	}
+	return g.allotment.allows(a.running(g), t.lateness(now) > 0)
+}
+
+// chooseProbed returns the upstream of a closed group that the request is to probe, or nil. The group that was not probed
+// for the longest time comes first.
+func (a *Admitter) chooseProbed(now time.Time, s *service, t *Ticket, interval time.Duration) *upstream {
+	var due *group
+	for _, g := range s.groups {
+		if g.closed && now.Sub(g.lastProbe) >= a.ownInterval(interval) && a.allowsStart(now, s, g, t) &&
+			(due == nil || g.lastProbe.Before(due.lastProbe)) {
+			due = g
+		}
+	}
+	if due == nil {
+		return nil
+	}
+	return a.choose(now, s, t.request, map[*group]bool{due: true})
+}
+
 // refusal returns the refusal of a request that cannot be served in time, and false for any other request. Estimates of
 // the wait do not refuse a request whose client does not retry.
 func (a *Admitter) refusal(now time.Time, s *service, t *Ticket) (Refused, bool) {
+	remaining, closed := s.remainingOutage(now)
 	if !now.Before(t.request.GrantUntil) {
-		if s.closed {
+		if closed {
 			return newRefused(now, t, ReasonGroupClosed, maxRetryAfter), true
 		}
 		return newRefused(now, t, ReasonDeadline, s.serviceTime), true
@@ -109,7 +140,9 @@
 	for _, u := range a.upstreams {
 		if u.Service == s.Name && a.usable(u) && !t.request.Exclude[u.ID] {
 			usable++
-			slots += a.usableSlots(s, u)
+			if closed || !u.group.closed {
+				slots += a.usableSlots(s, u)
+			}
 		}
 	}
 	if usable == 0 {
@@ -118,10 +151,7 @@
 	if t.request.NoClientRetry {
 		return Refused{}, false
 	}
-	if s.closed {
-		elapsed := now.Sub(s.closedSince)
-		// The group is assumed to stay closed for at least half of the time that it has been closed already.
-		remaining := max(s.expectedOutage-elapsed, elapsed/2)
+	if closed {
 		if now.Add(remaining).After(t.request.GrantUntil) {
 			// The end of the outage is an estimate. A client that retries too early is refused again and may not retry
 			// once more, so it gets the longest Retry-After that it honours.
@@ -131,7 +161,7 @@
 	}
 	// The queues of all gateways are assumed to be equally long.
 	ahead := a.ahead(s, t) * a.gateways
-	wait := time.Duration(float64(s.serviceTime) * float64(ahead) / float64(slots))
+	wait := time.Duration(float64(s.serviceTime) * float64(ahead) / float64(max(slots, 1)))
 	if now.Add(wait).After(t.request.GrantUntil) {
 		return newRefused(now, t, ReasonOverload, wait), true
 	}
--- a/internal/request/admitter/upstream.go
+++ b/internal/request/admitter/upstream.go
@@ -11,6 +11,8 @@
 // upstream is the state of one incarnation of an upstream as this gateway knows it.
 type upstream struct {
 	cataloguer.Upstream
+	// group is that of Upstream.Group.
+	group *group
 	// running is the number of requests that this gateway runs on the upstream, and peerRunning that of all others.
 	running     int
 	peerRunning int
--- a/internal/request/admitter/window.go
+++ b/internal/request/admitter/window.go
@@ -59,10 +59,10 @@
 }
 
 // startShare returns this gateway's share of the requests that may wait for their first byte when a group opens.
-func (a *Admitter) startShare(s *service) int {
+func (a *Admitter) startShare(g *group) int {
 	ranks := 0
 	for _, u := range a.upstreams {
-		if u.Service == s.Name && a.usable(u) {
+		if u.group == g && a.usable(u) {
 			ranks++
 		}
 	}
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -144,7 +144,7 @@
 			time.Sleep(time.Millisecond)
 			for i, a := range s.admitters {
 				if i != reporter {
-					a.GroupOpened(time.Now(), c.Service)
+					a.GroupOpened(time.Now(), c.Group)
 				}
 			}
 		}()
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -193,7 +193,7 @@
 // recordProgress records that events of the latest attempt arrived.
 func (f *Forwarder) recordProgress(c *call, s *stream, sent time.Time) {
 	now := time.Now()
-	f.cfg.Admitter.RecordProgress(now, c.service)
+	f.cfg.Admitter.RecordProgress(now, s.grant.Upstream.ID)
 	if s.firstByte == 0 {
 		s.firstByte = now.Sub(sent)
 		s.endWatch()
--- a/internal/version/cataloguer/upstream.go
+++ b/internal/version/cataloguer/upstream.go
@@ -13,6 +13,8 @@
 	Service       identifier.Service
 	Address       string
 	FailureDomain identifier.FailureDomain
+	// Group is the group of which the upstream is a rank; empty if it is not known or the service has none.
+	Group identifier.ModelGroup
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	// Draining is set if the upstream accepts no new requests.
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -92,8 +93,11 @@
 	// PlatformDown reports whether this gateway receives gossip from at least half of its peers and the platform's store
 	// has responded to none of these since a time.
 	PlatformDown func(since time.Time) bool
-	// OnGroupState is called with each observation of whether the group of a service is open.
-	OnGroupState func(s identifier.Service, open bool)
+	// OnGroupState is called with each observation of whether a group is open.
+	OnGroupState func(id identifier.GroupID, open bool)
+	// OnGroupFound is called with the addresses of the ranks of each group that was discovered, and a version that is
+	// higher than those of earlier calls, also of earlier leaders.
+	OnGroupFound func(id identifier.GroupID, addresses []string, version uint64)
 	Log          *logger.Logger
 	Meter        *meter.Meter
 }
@@ -103,20 +107,22 @@
 	cfg     Config
 	leading atomic.Bool
 	// tenure is the fence that the lease had when the leader last managed no group. Map versions start from it.
-	tenure uint64
+	tenure    uint64
 	// version is the last map version that this leader has used.
 	version uint64
 	// estimators holds the last estimator of each group; it outlives the epoch of a group.
-	estimators map[identifier.ModelGroup]*estimator.Estimator
-	// searchedAt holds when groups of each service were last searched for.
+	estimators map[identifier.GroupID]*estimator.Estimator
+	// lost holds the addresses of the ranks of the groups that were managed and have to be discovered again.
+	lost map[identifier.GroupID][]string
+	// searchedAt holds when unknown groups of each service were last searched for.
 	searchedAt map[identifier.Service]time.Time
 	// failingSince is when the first of the renewals that have failed in a row started; zero if the last one succeeded.
 	failingSince time.Time
 	// ordersMu is held while orders are issued, so that the lease is not resigned during a switch.
 	ordersMu sync.Mutex
 	openedMu sync.Mutex
-	// openedAt holds when requests last showed that the closed group of a service works again; openedMu guards it.
-	openedAt map[identifier.Service]time.Time
+	// openedAt holds when requests last showed that a closed group works again; openedMu guards it.
+	openedAt map[identifier.GroupID]time.Time
 	// wake interrupts wait when a group opens.
 	wake chan struct{}
 	// replaced maps each upstream whose address another upstream has taken over to the version of its row.
@@ -129,19 +135,21 @@
 func New(cfg Config) *Leader {
 	return &Leader{
 		cfg:        cfg,
-		estimators: map[identifier.ModelGroup]*estimator.Estimator{},
+		estimators: map[identifier.GroupID]*estimator.Estimator{},
+		lost:       map[identifier.GroupID][]string{},
 		searchedAt: map[identifier.Service]time.Time{},
-		openedAt:   map[identifier.Service]time.Time{},
+		openedAt:   map[identifier.GroupID]time.Time{},
 		replaced:   map[identifier.Upstream]uint64{},
 		wake:       make(chan struct{}, 1),
 	}
 }
 
-// GroupOpened notifies the leader that requests have shown that the closed group of a service works again, before the
-// reports of its ranks do. It may be called concurrently.
-func (l *Leader) GroupOpened(s identifier.Service) {
+// GroupOpened notifies the leader that requests have shown that a closed group works again, before the reports of its
+// ranks do. It may be called concurrently.
+func (l *Leader) GroupOpened(id identifier.GroupID) {
 	l.openedMu.Lock()
-	l.openedAt[s] = time.Now()
+	maps.DeleteFunc(l.openedAt, func(_ identifier.GroupID, at time.Time) bool { return time.Since(at) >= reportLag })
+	l.openedAt[id] = time.Now()
 	l.openedMu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -149,11 +157,17 @@
 	}
 }
 
-// recentlyOpened reports whether the group of a service opened so recently that reports may be older.
-func (l *Leader) recentlyOpened(s identifier.Service) bool {
+// recentlyOpened reports whether a group opened so recently that reports may be older. A gateway that does not know the
+// groups of a service reports their opening without a name; for an id without a name, any group of the service counts.
+func (l *Leader) recentlyOpened(id identifier.GroupID) bool {
 	l.openedMu.Lock()
 	defer l.openedMu.Unlock()
-	return time.Since(l.openedAt[s]) < reportLag
+	for opened, at := range l.openedAt {
+		if opened.Service == id.Service && (opened.Group == id.Group || opened.Group == "" || id.Group == "") && time.Since(at) < reportLag {
+			return true
+		}
+	}
+	return false
 }
 
 // wait returns when the time has passed, a group opens or the context ends.
@@ -270,10 +284,11 @@
 
 // Run rebalances the groups while this gateway leads, until the context ends.
 func (l *Leader) Run(ctx context.Context) error {
-	managed := map[identifier.ModelGroup]*managedGroup{}
+	managed := map[identifier.GroupID]*managedGroup{}
 	for ctx.Err() == nil {
 		if !l.Leading() {
 			clear(managed)
+			clear(l.lost)
 			l.wait(ctx, groupRetryInterval)
 			continue
 		}
@@ -309,79 +324,139 @@
 	// hasCounts is set once counts were read in this epoch, and verdict is what the latest showed.
 	hasCounts bool
 	verdict   estimator.Verdict
+	// dueAt is when the counts are to be read next.
+	dueAt time.Time
 	// idleMoves is how often in a row the sampled ranks were idle.
 	idleMoves int
 }
 
-// rebalanceService discovers the groups of a service that are not managed, rebalances each managed one once and returns
-// the time until the next call.
-func (l *Leader) rebalanceService(ctx context.Context, s cataloguer.Service, managed map[identifier.ModelGroup]*managedGroup) time.Duration {
-	var current []*managedGroup
-	for _, g := range managed {
-		if g.service.Name == s.Name {
-			current = append(current, g)
+// id returns the id of the group.
+func (g *managedGroup) id() identifier.GroupID {
+	return identifier.GroupID{Service: g.service.Name, Group: g.group.Name}
+}
+
+// rebalanceService discovers the groups of a service that are not managed, rebalances the managed ones and
+// returns the time until the next call.
+func (l *Leader) rebalanceService(ctx context.Context, s cataloguer.Service, managed map[identifier.GroupID]*managedGroup) time.Duration {
+	l.search(ctx, s, managed)
+	next := countInterval
+	due := map[*managedGroup]error{}
+	for id, g := range managed {
+		if id.Service != s.Name {
+			continue
 		}
+		if !g.hasCounts {
+			next = firstCountInterval
+		}
+		due[g] = l.rebalance(ctx, g)
 	}
-	found, closed := l.search(ctx, s, current)
-	for _, g := range found {
-		managed[g.group.Name] = g
-	}
-	if len(current) == 0 {
-		if len(found) > 0 || closed {
-			l.cfg.OnGroupState(s.Name, len(found) > 0)
+	for g, err := range due {
+		g.dueAt = time.Now().Add(min(next, g.countInterval()))
+		if err == nil {
+			continue
 		}
-		if len(found) == 0 {
-			// Neither a rank that does not respond nor a failed recovery from an earlier switch means that the group is closed.
-			return groupRetryInterval
+		id := g.id()
+		delete(managed, id)
+		l.lost[id] = g.addresses()
+		var replaced *mapswitcher.ReplacedError
+		if errors.As(err, &replaced) {
+			l.markReplaced(replaced.Upstream)
+			next = 0
 		}
 	}
-	current = append(current, found...)
-	next := countInterval
-	for _, g := range current {
-		if !g.hasCounts {
-			next = min(next, firstCountInterval)
-		}
-		if err := l.rebalance(ctx, g); err != nil {
-			next = min(next, groupRetryInterval)
-			delete(managed, g.group.Name)
-			var replaced *mapswitcher.ReplacedError
-			if errors.As(err, &replaced) {
-				l.markReplaced(replaced.Upstream)
-				next = 0
-			}
-			continue
+	isSearching := true
+	for id, g := range managed {
+		if id.Service == s.Name {
+			isSearching = false
+			next = min(next, max(time.Until(g.dueAt), 0))
 		}
-		next = min(next, g.countInterval())
+	}
+	for id := range l.lost {
+		isSearching = isSearching || id.Service == s.Name
+	}
+	if isSearching {
+		next = min(next, groupRetryInterval)
 	}
 	return next
 }
 
-// search discovers the groups of upstreams that belong to no managed group. While other groups are managed, it calls these
-// upstreams once per groupSearchInterval only, and reads further only if one reports a group that is open.
-func (l *Leader) search(ctx context.Context, s cataloguer.Service, current []*managedGroup) ([]*managedGroup, bool) {
-	members := l.members(s.Name)
-	if len(current) == 0 {
-		return l.discoverGroups(ctx, s, members)
+// search discovers the groups of a service that are not managed: each lost group by itself, since its ranks fail and
+// recover together, and unknown ones among the upstreams that belong to no other group.
+func (l *Leader) search(ctx context.Context, s cataloguer.Service, managed map[identifier.GroupID]*managedGroup) {
+	free, managedCount := l.freeMembers(s.Name, managed)
+	lost := l.lostGroups(s.Name, free)
+	owned := map[string]bool{}
+	for _, id := range lost {
+		for _, address := range l.lost[id] {
+			owned[address] = true
+		}
 	}
-	members = slices.DeleteFunc(members, func(m mapswitcher.Member) bool {
-		return slices.ContainsFunc(current, func(g *managedGroup) bool { return slices.Contains(g.group.Members, m) })
-	})
-	if len(members) == 0 || time.Since(l.searchedAt[s.Name]) < groupSearchInterval {
-		return nil, false
+	unowned := slices.DeleteFunc(slices.Clone(free), func(m mapswitcher.Member) bool { return owned[m.Address] })
+	for _, id := range lost {
+		addresses := l.lost[id]
+		members := slices.DeleteFunc(slices.Clone(free), func(m mapswitcher.Member) bool { return owned[m.Address] && !slices.Contains(addresses, m.Address) })
+		l.discoverGroups(ctx, s, id, members, managed)
 	}
-	l.searchedAt[s.Name] = time.Now()
-	reports, errs := gather(ctx, members, 1, l.cfg.Engines.Report)
-	// An upstream that has ended may still be listed beside its successor in a managed group.
-	isManaged := func(name identifier.ModelGroup) bool {
-		return slices.ContainsFunc(current, func(g *managedGroup) bool { return g.group.Name == name })
+	switch {
+	case len(unowned) == 0:
+	case managedCount == 0 && len(lost) == 0:
+		l.discoverGroups(ctx, s, identifier.GroupID{Service: s.Name}, unowned, managed)
+	case time.Since(l.searchedAt[s.Name]) >= groupSearchInterval:
+		l.searchedAt[s.Name] = time.Now()
+		l.searchUnknown(ctx, s, unowned, managed)
+	}
+}
+
+// freeMembers returns the upstreams of a service that belong to no managed group, and the number of the managed groups.
+func (l *Leader) freeMembers(s identifier.Service, managed map[identifier.GroupID]*managedGroup) ([]mapswitcher.Member, int) {
+	members, count := l.members(s), 0
+	for id, g := range managed {
+		if id.Service == s {
+			count++
+			members = slices.DeleteFunc(members, func(m mapswitcher.Member) bool { return slices.Contains(g.group.Members, m) })
+		}
+	}
+	return members, count
+}
+
+// lostGroups returns the lost groups of a service in order. Those of which no rank is listed any more are forgotten.
+func (l *Leader) lostGroups(s identifier.Service, free []mapswitcher.Member) []identifier.GroupID {
+	var out []identifier.GroupID
+	for id, addresses := range l.lost {
+		if id.Service != s {
+			continue
+		}
+		if !slices.ContainsFunc(free, func(m mapswitcher.Member) bool { return slices.Contains(addresses, m.Address) }) {
+			delete(l.lost, id)
+			continue
+		}
+		out = append(out, id)
 	}
+	slices.SortFunc(out, func(a, b identifier.GroupID) int { return cmp.Compare(a.Group, b.Group) })
+	return out
+}
+
+// searchUnknown calls upstreams once and reads further only if one reports an unknown group that is open.
+func (l *Leader) searchUnknown(ctx context.Context, s cataloguer.Service, members []mapswitcher.Member, managed map[identifier.GroupID]*managedGroup) {
+	reports, errs := gather(ctx, members, 1, l.cfg.Engines.Report)
 	var candidates []mapswitcher.Member
 	for i, r := range reports {
-		if errs[i] == nil && r.Open && r.Group != "" && !isManaged(r.Group) {
+		id := identifier.GroupID{Service: s.Name, Group: r.Group}
+		// An upstream that has ended may still be listed beside its successor in a managed group.
+		if errs[i] == nil && r.Open && r.Group != "" && managed[id] == nil {
 			candidates = append(candidates, members[i])
 		}
 	}
-	return l.discoverGroups(ctx, s, candidates)
+	l.discoverGroups(ctx, s, identifier.GroupID{Service: s.Name}, candidates, managed)
+}
+
+// addresses returns the addresses of the ranks.
+func (g *managedGroup) addresses() []string {
+	out := make([]string, 0, len(g.group.Members))
+	for _, m := range g.group.Members {
+		out = append(out, m.Address)
+	}
+	return out
 }
 
 // countInterval returns the time before the counts of the group are read again.
@@ -458,50 +533,67 @@
 	return out, errs
 }
 
-// discoverGroups returns the groups of some upstreams of a service of which all ranks report, and whether a rank reports its group as
-// closed.
-func (l *Leader) discoverGroups(ctx context.Context, s cataloguer.Service, members []mapswitcher.Member) ([]*managedGroup, bool) {
+// discoverGroups adds the groups of some upstreams of which all ranks report to the managed ones. A name is given for a
+// lost group. It reports which groups are open or closed.
+func (l *Leader) discoverGroups(ctx context.Context, s cataloguer.Service, wanted identifier.GroupID, members []mapswitcher.Member, managed map[identifier.GroupID]*managedGroup) {
 	if len(members) == 0 {
-		return nil, false
+		return
 	}
-	recentlyOpened := l.recentlyOpened(s.Name)
-	if !recentlyOpened {
-		// A group is closed if any rank reports it closed, so that one call often suffices.
-		l.probes++
-		probed := l.probes % len(members)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		report, err := l.cfg.Engines.Report(callCtx, members[probed])
-		cancel()
-		if err == nil && !report.Open {
-			return nil, true
-		}
+	if !l.recentlyOpened(wanted) && l.isClosed(ctx, wanted, members) {
+		return
 	}
 	reports, errs := gather(ctx, members, maxCallTries, l.cfg.Engines.Report)
-	groups := map[identifier.ModelGroup]*groupReports{}
-	closed := false
+	groups := map[identifier.GroupID]*groupReports{}
+	closed := map[identifier.GroupID]bool{}
 	for i, r := range reports {
-		if errs[i] != nil || r.Group == "" {
+		id := identifier.GroupID{Service: s.Name, Group: r.Group}
+		if errs[i] != nil || r.Group == "" || managed[id] != nil {
 			continue
 		}
-		closed = closed || !r.Open && !recentlyOpened
-		if groups[r.Group] == nil {
-			groups[r.Group] = &groupReports{}
+		closed[id] = closed[id] || !r.Open && !l.recentlyOpened(id)
+		if groups[id] == nil {
+			groups[id] = &groupReports{}
 		}
-		groups[r.Group].add(members[i], r)
+		groups[id].add(members[i], r)
 	}
-	var out []*managedGroup
-	for name, reported := range groups {
-		if !reported.complete(recentlyOpened) {
+	for id, reported := range groups {
+		if !reported.complete(l.recentlyOpened(id)) {
+			// Neither a rank that does not respond nor a failed recovery from an earlier switch means that the group is closed.
+			if closed[id] {
+				l.cfg.OnGroupState(id, false)
+			}
 			continue
 		}
-		g, err := l.newManagedGroup(ctx, s, name, reported)
+		g, err := l.newManagedGroup(ctx, s, id, reported)
 		if err != nil {
-			l.cfg.Log.Event(logger.EventGroupUnreadable).Str("group", string(name)).AnErr("error", err).Send()
+			l.cfg.Log.Event(logger.EventGroupUnreadable).Str("service", string(s.Name)).Str("group", string(id.Group)).
+				AnErr("error", err).Send()
 			continue
 		}
-		out = append(out, g)
+		managed[id] = g
+		delete(l.lost, id)
+		l.cfg.Log.Event(logger.EventGroupFound).Str("service", string(s.Name)).Str("group", string(id.Group)).
+			Uint64("epoch", uint64(g.group.Epoch)).Int("ranks", len(g.group.Members)).Send()
+		l.cfg.OnGroupFound(id, g.addresses(), uint64(l.nextVersion()))
+		l.cfg.OnGroupState(id, true)
 	}
-	return out, closed
+}
+
+// isClosed reports whether one of the upstreams reports that the wanted group is closed, which one call shows most often.
+// Without a wanted group, it has to be that of most of them.
+func (l *Leader) isClosed(ctx context.Context, wanted identifier.GroupID, members []mapswitcher.Member) bool {
+	l.probes++
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := l.cfg.Engines.Report(callCtx, members[l.probes%len(members)])
+	if err != nil || report.Open || report.Group == "" {
+		return false
+	}
+	if wanted.Group != "" && report.Group != wanted.Group || wanted.Group == "" && 2*report.Size <= len(members) {
+		return false
+	}
+	l.cfg.OnGroupState(identifier.GroupID{Service: wanted.Service, Group: report.Group}, false)
+	return true
 }
 
 // groupReports holds the reports of the ranks of one group, ordered by rank, and the members that sent them.
@@ -540,12 +632,12 @@
 	return true
 }
 
-func (l *Leader) newManagedGroup(ctx context.Context, s cataloguer.Service, name identifier.ModelGroup, reported *groupReports) (*managedGroup, error) {
+func (l *Leader) newManagedGroup(ctx context.Context, s cataloguer.Service, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
 	g := &managedGroup{
 		service: s,
-		group:   mapswitcher.Group{Name: name, Members: reported.members},
+		group:   mapswitcher.Group{Name: id.Group, Members: reported.members},
 		estimator: estimator.New(estimator.Config{
-			Sets: s.Engine.Sets, Experts: s.Engine.Experts, Ranks: len(reported.members), Previous: l.estimators[name],
+			Sets: s.Engine.Sets, Experts: s.Engine.Experts, Ranks: len(reported.members), Previous: l.estimators[id],
 		}),
 		switcher: mapswitcher.New(mapswitcher.Config{
 			Engines:  l.cfg.Engines,
@@ -553,7 +645,7 @@
 			LoadTime: s.Engine.ExpertLoadTime,
 		}),
 	}
-	l.estimators[name] = g.estimator
+	l.estimators[id] = g.estimator
 	epoch, err := l.readLayout(ctx, g)
 	if err != nil {
 		return nil, err
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -50,6 +50,55 @@
 	unlisted identifier.Upstream
 	// twoGroups makes ranks 2 and 3 the ranks 0 and 1 of a second group.
 	twoGroups bool
+	// second is the state of the second group.
+	second secondGroup
+	// states and found hold what the leader reported last of each group.
+	states map[identifier.GroupID]bool
+	found  map[identifier.GroupID][]string
+	// countReads counts the reads of the counts of the first group.
+	countReads int
+}
+
+// secondGroup is the state of a group that may close and form again.
+type secondGroup struct {
+	name   identifier.ModelGroup
+	epoch  mapswitcher.Epoch
+	closed bool
+}
+
+// setSecond sets the state of the second group.
+func (e *fakeEngines) setSecond(s secondGroup) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.second = s
+}
+
+// group returns the name, the epoch and whether it is open of the group of an address.
+func (e *fakeEngines) group(address string) (identifier.ModelGroup, mapswitcher.Epoch, bool) {
+	if !e.twoGroups || address < "2" {
+		return "g", 1, !e.closed.Load()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.second.name == "" {
+		return "h", 1, true
+	}
+	return e.second.name, e.second.epoch, !e.second.closed
+}
+
+// reads returns the number of reads of the counts of the first group.
+func (e *fakeEngines) reads() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.countReads
+}
+
+// state returns what the leader reported last of a group of the service.
+func (e *fakeEngines) state(name identifier.ModelGroup) (open, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open, known = e.states[identifier.GroupID{Service: "s", Group: name}]
+	return open, known
 }
 
 // maxSwitchTime is longer than the leader takes to read the counts of a group twice and to switch its map.
@@ -63,9 +112,22 @@
 	return e.reports%3 != 0
 }
 
-func (e *fakeEngines) recordState(open bool) {
+func (e *fakeEngines) recordFound(id identifier.GroupID, addresses []string, _ uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.found == nil {
+		e.found = map[identifier.GroupID][]string{}
+	}
+	e.found[id] = addresses
+}
+
+func (e *fakeEngines) recordState(id identifier.GroupID, open bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.states == nil {
+		e.states = map[identifier.GroupID]bool{}
+	}
+	e.states[id] = open
 	e.reportedClosed = e.reportedClosed || !open
 }
 
@@ -98,24 +160,28 @@
 	if err != nil {
 		return mapswitcher.Report{}, err
 	}
-	group := identifier.ModelGroup("g")
+	group, epoch, open := e.group(m.Address)
 	if e.twoGroups && rank > 1 {
-		group, rank = "h", rank-2
+		rank -= 2
 	}
-	return mapswitcher.Report{Group: group, Epoch: 1, Rank: identifier.Rank(rank), Size: max(e.size, 2), Open: !e.closed.Load()}, nil
+	return mapswitcher.Report{Group: group, Epoch: epoch, Rank: identifier.Rank(rank), Size: max(e.size, 2), Open: open}, nil
 }
 
 func (e *fakeEngines) Counts(_ context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
+	group, epoch, _ := e.group(m.Address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.step++
+	if group == "g" {
+		e.countReads++
+	}
 	if e.idle[m.Address] {
 		if e.neverServed {
-			return mapswitcher.Counts{Step: e.step, Epoch: 1, Counts: make([]float64, 4)}, nil
+			return mapswitcher.Counts{Step: e.step, Epoch: epoch, Counts: make([]float64, 4)}, nil
 		}
-		return mapswitcher.Counts{Step: e.step, Epoch: 1, Counts: []float64{5, 15, 5, 15}}, nil
+		return mapswitcher.Counts{Step: e.step, Epoch: epoch, Counts: []float64{5, 15, 5, 15}}, nil
 	}
-	return mapswitcher.Counts{Step: e.step, Epoch: 1, Counts: []float64{float64(1000 * e.step), 1, 900, 1}}, nil
+	return mapswitcher.Counts{Step: e.step, Epoch: epoch, Counts: []float64{float64(1000 * e.step), 1, 900, 1}}, nil
 }
 
 func (e *fakeEngines) RankMap(_ context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
@@ -123,7 +189,8 @@
 	if m.Address != "0" && m.Address != "2" {
 		experts = []identifier.Expert{1, 3}
 	}
-	return mapswitcher.RankMap{Epoch: 1, Experts: [][]identifier.Expert{experts}}, nil
+	_, epoch, _ := e.group(m.Address)
+	return mapswitcher.RankMap{Epoch: epoch, Experts: [][]identifier.Expert{experts}}, nil
 }
 
 func (e *fakeEngines) Order(ctx context.Context, m mapswitcher.Member, _ mapswitcher.Epoch, o mapswitcher.Order) (mapswitcher.Status, error) {
@@ -187,7 +254,8 @@
 		Candidate:        func() bool { return !f.notCandidate },
 		StoreServesPeers: func(since time.Time) bool { return !f.platformDown || f.peerRespondedAt().After(since) },
 		PlatformDown:     func(since time.Time) bool { return f.platformDown && !f.peerRespondedAt().After(since) },
-		OnGroupState:     func(_ identifier.Service, open bool) { engines.recordState(open) },
+		OnGroupState:     engines.recordState,
+		OnGroupFound:     engines.recordFound,
 		Log:              logger.Discard(),
 		Meter:            meter.New(),
 	})
@@ -230,7 +298,7 @@
 		time.Sleep(3 * time.Second)
 		require.True(t, l.Leading())
 		require.False(t, engines.ordered())
-		l.GroupOpened("s")
+		l.GroupOpened(identifier.GroupID{Service: "s"})
 		time.Sleep(maxSwitchTime)
 		require.True(t, engines.ordered())
 		stop()
@@ -374,3 +442,51 @@
 		require.True(t, both, "the other one as well, once it is complete")
 	})
 }
+
+// newTwoGroupLeader returns a leader of two groups of two ranks.
+func newTwoGroupLeader(engines *fakeEngines) *mapleader.Leader {
+	return newLeader(newFixture(), engines,
+		cataloguer.Upstream{ID: "c", Service: "s", Address: "2", Version: 7}, cataloguer.Upstream{ID: "d", Service: "s", Address: "3", Version: 8})
+}
+
+// Guards against a group whose outage is reported as that of another one or not at all, whose end is noticed late, or which
+// keeps the leader from managing others.
+func TestGroupsCloseAndOpenByThemselves(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true}
+		stop := startLeader(t, newTwoGroupLeader(engines))
+		defer stop()
+		time.Sleep(2 * time.Second)
+		require.True(t, engines.allSwitched())
+		engines.setSecond(secondGroup{name: "h", epoch: 2, closed: true})
+		time.Sleep(time.Second)
+		open, known := engines.state("h")
+		require.True(t, known && !open)
+		before := engines.reads()
+		time.Sleep(3 * time.Second)
+		require.GreaterOrEqual(t, engines.reads()-before, 8, "two ranks of the open group every 0.5 s")
+		engines.setSecond(secondGroup{name: "h", epoch: 2})
+		time.Sleep(400 * time.Millisecond)
+		open, _ = engines.state("h")
+		require.True(t, open)
+		open, _ = engines.state("g")
+		require.True(t, open)
+	})
+}
+
+// Guards against ranks that stay without a map because they left one group for another.
+func TestRanksThatFormAnotherGroupAreFound(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true}
+		stop := startLeader(t, newTwoGroupLeader(engines))
+		defer stop()
+		time.Sleep(2 * time.Second)
+		engines.setSecond(secondGroup{name: "k", epoch: 5})
+		time.Sleep(2 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		require.Equal(t, []string{"2", "3"}, engines.found[identifier.GroupID{Service: "s", Group: "k"}])
+	})
+}
