Rebalance the groups of a service at the same time, each when it is due

Cause: one loop did the groups in turn, so that a shift of demand for all was answered one group after the other, and a group that was searched for or had just shifted made the leader read the counts of all others with it. Change: the groups that are due are rebalanced concurrently; each has its own time of the next read. Result: with orders that take 50 ms each, two groups are armed within 50 ms of each other; beside a lost group, an open one is read every 0.5 s. Both tests fail before. Leads are still one gateway's.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -108,7 +108,8 @@
 	leading atomic.Bool
 	// tenure is the fence that the lease had when the leader last managed no group. Map versions start from it.
 	tenure    uint64
-	// version is the last map version that this leader has used.
+	versionMu sync.Mutex
+	// version is the last map version that this leader has used; versionMu guards it.
 	version uint64
 	// estimators holds the last estimator of each group; it outlives the epoch of a group.
 	estimators map[identifier.GroupID]*estimator.Estimator
@@ -335,21 +336,30 @@
 	return identifier.GroupID{Service: g.service.Name, Group: g.group.Name}
 }
 
-// rebalanceService discovers the groups of a service that are not managed, rebalances the managed ones and
+// rebalanceService discovers the groups of a service that are not managed, rebalances the managed ones that are due and
 // returns the time until the next call.
 func (l *Leader) rebalanceService(ctx context.Context, s cataloguer.Service, managed map[identifier.GroupID]*managedGroup) time.Duration {
 	l.search(ctx, s, managed)
+	started := time.Now()
 	next := countInterval
 	due := map[*managedGroup]error{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
 	for id, g := range managed {
-		if id.Service != s.Name {
+		if id.Service != s.Name || g.dueAt.After(started) {
 			continue
 		}
 		if !g.hasCounts {
 			next = firstCountInterval
 		}
-		due[g] = l.rebalance(ctx, g)
+		wg.Go(func() {
+			err := l.rebalance(ctx, g)
+			mu.Lock()
+			defer mu.Unlock()
+			due[g] = err
+		})
 	}
+	wg.Wait()
 	for g, err := range due {
 		g.dueAt = time.Now().Add(min(next, g.countInterval()))
 		if err == nil {
@@ -714,6 +724,8 @@
 // nextVersion returns a map version that is higher than all earlier ones, also of earlier leaders: the fence grows with
 // every tenure.
 func (l *Leader) nextVersion() identifier.MapVersion {
+	l.versionMu.Lock()
+	defer l.versionMu.Unlock()
 	l.version = max(l.version+1, l.tenure*versionsPerTenure)
 	return identifier.MapVersion(l.version)
 }
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -55,6 +55,9 @@
 	// states and found hold what the leader reported last of each group.
 	states map[identifier.GroupID]bool
 	found  map[identifier.GroupID][]string
+	// orderDelay is how long each order takes, and armedAt when each rank was armed first.
+	orderDelay time.Duration
+	armedAt    map[string]time.Time
 	// countReads counts the reads of the counts of the first group.
 	countReads int
 }
@@ -200,6 +203,7 @@
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
+	time.Sleep(e.orderDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
@@ -215,6 +219,9 @@
 		delete(e.held, m.Address)
 	case mapswitcher.Arm:
 		e.armed[m.Address] = true
+		if _, before := e.armedAt[m.Address]; !before && e.armedAt != nil {
+			e.armedAt[m.Address] = time.Now()
+		}
 	case mapswitcher.Disarm:
 		delete(e.armed, m.Address)
 	}
@@ -465,7 +472,9 @@
 		require.True(t, known && !open)
 		before := engines.reads()
 		time.Sleep(3 * time.Second)
-		require.GreaterOrEqual(t, engines.reads()-before, 8, "two ranks of the open group every 0.5 s")
+		read := engines.reads() - before
+		require.GreaterOrEqual(t, read, 8, "two ranks of the open group every 0.5 s")
+		require.LessOrEqual(t, read, 14, "the search for the other group adds no reads")
 		engines.setSecond(secondGroup{name: "h", epoch: 2})
 		time.Sleep(400 * time.Millisecond)
 		open, _ = engines.state("h")
@@ -475,6 +484,22 @@
 	})
 }
 
+// Guards against groups that wait for each other's switches when demand shifts for all.
+func TestGroupsSwitchAtTheSameTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{
+			held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true,
+			orderDelay: 50 * time.Millisecond, armedAt: map[string]time.Time{},
+		}
+		stop := startLeader(t, newTwoGroupLeader(engines))
+		time.Sleep(3 * time.Second)
+		stop()
+		require.Len(t, engines.armedAt, 4)
+		require.Less(t, engines.armedAt["0"].Sub(engines.armedAt["2"]).Abs(), 50*time.Millisecond)
+	})
+}
+
 // Guards against ranks that stay without a map because they left one group for another.
 func TestRanksThatFormAnotherGroupAreFound(t *testing.T) {
 	t.Parallel()
