Run three groups of ranks in the soak

Cause: the soak had plain upstreams only, so nothing there closed a group, restarted a rank or switched a map while gateways were restarted, frozen or cut off. Change: streams go to a service of three groups of two ranks, stand-ins that run their steps together, with maps, orders and shifting demand; a fault restarts a rank, which gets a new id. Checked besides the promises so far: no step begins while two ranks have different maps, no hold lasts 5 s, and each group gets a map within 12 s after it has formed anew.

--- a/internal/prover/soaker/clients.go
+++ b/internal/prover/soaker/clients.go
@@ -116,6 +116,7 @@
 		d.checkExchange(&r, x)
 	}
 	r.check(len(d.executions.altered) == 0, "altered between client and upstream: %v", d.executions.altered)
+	d.checkGroups(ctx, &r)
 	d.checkRecovery(ctx, &r)
 	return r, ctx.Err()
 }
--- a/internal/prover/soaker/faults.go
+++ b/internal/prover/soaker/faults.go
@@ -15,7 +15,7 @@
 // faults are the faults that injectFaults starts at random. Several can be active at the same time.
 var faults = []fault{
 	killGateway, stopGateway, freezeGateway, cutUpstream, delayUpstream, resetUpstream, silenceUpstream, cutStore,
-	silenceStore, takeStoreDown, loseWriteResponses, compactStore, drainUpstream,
+	silenceStore, takeStoreDown, loseWriteResponses, compactStore, drainUpstream, restartRank, restartRank,
 }
 
 // meanFaultInterval is the mean time between the starts of two faults of a seed.
--- a/internal/prover/soaker/soaker.go
+++ b/internal/prover/soaker/soaker.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 const (
 	gatewayCount  = 3
 	upstreamCount = 4
+	upstreamSlots = 16
 	clientCount   = 12
 	// faultDuration is the time during which new faults start.
 	faultDuration = 8 * time.Second
@@ -97,8 +99,12 @@
 	// random draws the faults.
 	random   *rand.Rand
 	gateways []*gateway
-	// upstreamProxies holds one proxy for each upstream, storeProxies one for the calls of each gateway to the store.
+	// groups are the groups of the service of streams, and ranks their ranks.
+	groups []*engineGroup
+	ranks  []*upstream
+	// upstreamProxies holds one proxy for each upstream of the plain service, rankProxies one for each rank, storeProxies one for the calls of each gateway to the store.
 	upstreamProxies []*interposer.Proxy
+	rankProxies     []*interposer.Proxy
 	storeProxies    []*interposer.Proxy
 }
 
@@ -149,7 +155,7 @@
 }
 
 func (d *deployment) close() {
-	for _, p := range append(d.upstreamProxies, d.storeProxies...) {
+	for _, p := range slices.Concat(d.upstreamProxies, d.rankProxies, d.storeProxies) {
 		p.Close()
 	}
 }
@@ -162,18 +168,16 @@
 	}
 	d.writeConfiguration(1, repeatPrefix, oncePrefix, streamPrefix)
 	for i := range upstreamCount {
-		name := fmt.Sprintf("i-%d", i)
-		address, err := d.startStandin(ctx, &upstream{name: name, executions: d.executions})
-		if err != nil {
-			return err
-		}
-		proxy, err := interposer.New(interposer.Config{Network: interposer.TCP, Target: address, Seed: seed})
+		proxy, err := d.startUpstream(ctx, &upstream{name: fmt.Sprintf("i-%d", i), executions: d.executions}, seed)
 		if err != nil {
 			return err
 		}
 		d.upstreamProxies = append(d.upstreamProxies, proxy)
 		d.setUpstreamState(i, "ready")
 	}
+	if err := d.startGroups(ctx, seed); err != nil {
+		return err
+	}
 	internalPort := 0
 	for i := range gatewayCount {
 		proxy, err := interposer.New(interposer.Config{Network: interposer.TCP, Target: storeAddress, Seed: seed})
@@ -193,10 +197,49 @@
 	return nil
 }
 
+// startUpstream starts an upstream behind a proxy.
+func (d *deployment) startUpstream(ctx context.Context, u *upstream, seed uint64) (*interposer.Proxy, error) {
+	address, err := d.startStandin(ctx, u)
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := interposer.New(interposer.Config{Network: interposer.TCP, Target: address, Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	u.address = proxy.Address()
+	return proxy, nil
+}
+
+// startGroups starts the groups of the service of streams.
+func (d *deployment) startGroups(ctx context.Context, seed uint64) error {
+	for i := range groupCount {
+		g := newEngineGroup(fmt.Sprintf("g-%d", i), seed+uint64(i))
+		d.groups = append(d.groups, g)
+		go g.run(ctx)
+		for rank := range rankCount {
+			u := &upstream{name: fmt.Sprintf("%s-rank-%d", g.name, rank), executions: d.executions, group: g, rank: rank}
+			proxy, err := d.startUpstream(ctx, u, seed)
+			if err != nil {
+				return err
+			}
+			d.rankProxies, d.ranks = append(d.rankProxies, proxy), append(d.ranks, u)
+			d.listRank(u)
+		}
+	}
+	return nil
+}
+
+// listRank writes the row of a rank to the store.
+func (d *deployment) listRank(u *upstream) {
+	d.store.Put("servers", u.currentName(),
+		fmt.Sprintf(`{"service":"m","address":%q,"zone":"a","slots":%d,"state":"ready"}`, u.address, upstreamSlots))
+}
+
 // setUpstreamState writes the row of an upstream to the store.
 func (d *deployment) setUpstreamState(i int, state string) {
 	d.store.Put("servers", fmt.Sprintf("i-%d", i),
-		fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","slots":16,"state":%q}`, d.upstreamProxies[i].Address(), state))
+		fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","slots":%d,"state":%q}`, d.upstreamProxies[i].Address(), upstreamSlots, state))
 }
 
 // startStandin serves a stand-in at a loopback host of its own and returns its address.
@@ -220,11 +263,16 @@
 	}
 	var routes []string
 	for _, p := range prefixes {
-		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"timeoutMs":5000,"sloMs":300,"service":"s",%s}`, p, hostName, p, kindOf[p]))
+		service := "s"
+		if p == streamPrefix {
+			service = "m"
+		}
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"timeoutMs":5000,"sloMs":300,"service":%q,%s}`, p, hostName, p, service, kindOf[p]))
 	}
+	engine := fmt.Sprintf(`{"sets":%d,"experts":%d,"places":%d,"spare":%d}`, expertSets, experts, experts, experts/2)
 	d.store.Put("op", "config", fmt.Sprintf(
-		`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":%q,"apiKeys":[%q]}]}`,
-		version, strings.Join(routes, ","), customerName, customerKey))
+		`{"version":%d,"routes":[%s],"services":[{"name":"s"},{"name":"m","engine":%s}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":%q,"apiKeys":[%q]}]}`,
+		version, strings.Join(routes, ","), engine, customerName, customerKey))
 }
 
 // addGateway writes the settings of a gateway and adds it to the deployment. All gateways exchange datagrams on the
--- a/internal/prover/soaker/upstream.go
+++ b/internal/prover/soaker/upstream.go
@@ -55,9 +55,17 @@
 
 // upstream is the stand-in of an upstream. It records the requests that it executes.
 type upstream struct {
-	name       string
 	executions *executionLog
-	mu         sync.Mutex
+	// group is that of a rank, or nil for an upstream of the plain service; rank is its place there.
+	group *engineGroup
+	rank  int
+	// address is that of its proxy.
+	address string
+	mu      sync.Mutex
+	// name is the id of the current incarnation.
+	name string
+	// restarts counts the incarnations before it.
+	restarts int
 	// calls counts the calls that this upstream received, including rejected ones.
 	calls int
 }
@@ -68,13 +76,35 @@
 
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
 
+// currentName returns the id of the current incarnation.
+func (u *upstream) currentName() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.name
+}
+
+// rename starts a new incarnation and returns the id of the former one.
+func (u *upstream) rename() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	former := u.name
+	u.restarts++
+	u.name = fmt.Sprintf("%s-rank-%d-%d", u.group.name, u.rank, u.restarts)
+	return former
+}
+
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Expect-Runner") != u.name {
+	isCall := u.group != nil && strings.HasPrefix(r.URL.Path, "/currantledge/")
+	if expected := r.Header.Get("Expect-Runner"); expected != u.currentName() && (!isCall || r.Method == http.MethodPost && expected != "") {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if isCall {
+		u.group.serveRank(w, r, u.rank)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -83,13 +113,19 @@
 	u.calls++
 	calls := u.calls
 	u.mu.Unlock()
+	if u.group != nil && !u.group.waitOpen() {
+		w.Header().Set("Runner-Load", fmt.Sprintf("0,0,%d", upstreamSlots))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if calls%rejectEvery == 0 {
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	u.executions.record(id, r.Header.Get("Tenant"), string(body))
-	w.Header().Set("Runner-Stamp", u.name)
+	w.Header().Set("Runner-Stamp", u.currentName())
 	aborts := calls%abortEvery == 0
 	if strings.HasPrefix(r.URL.Path, streamPrefix) {
 		u.stream(w, r, id, aborts)
@@ -110,6 +146,9 @@
 		lastReceived = 0
 	}
 	for n := lastReceived + 1; n <= streamEvents; n++ {
+		if u.group != nil && !u.group.waitOpen() {
+			panic(http.ErrAbortHandler)
+		}
 		if aborts && n == lastReceived+streamEvents/2 {
 			_, _ = io.WriteString(w, event(id, n)[:4])
 			panic(http.ErrAbortHandler)
