Switch a group that is still uneven again at once

Cause: where experts load slowly, a rank loads three in one switch, and an even load needs three switches. Change: if the skew after a switch is 1.6 or more, the counts are read again after 0.1 s instead of 0.5 s.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -32,6 +32,9 @@
 	// firstCountInterval is the time before the counts of a group that has just formed are read again: demand may have
 	// changed while the group was closed.
 	firstCountInterval = 200 * time.Millisecond
+	// unevenCountInterval is the time before the counts are read again after a switch that left the group uneven, since a
+	// rank may load few experts at a time. The ranks have taken the new map by then.
+	unevenCountInterval = 100 * time.Millisecond
 	// shiftCountInterval is the time before the counts are read again after demand has shifted: long enough for a sample
 	// of only the new demand, short since the load is uneven meanwhile.
 	shiftCountInterval = 100 * time.Millisecond
@@ -70,6 +73,8 @@
 	// triggerSkew is the skew at or above which a group is rebalanced; targetSkew is the skew that the new map aims at.
 	triggerSkew = 1.4
 	targetSkew  = 1.1
+	// unevenSkew is the skew after a switch at or above which the next one follows as soon as possible.
+	unevenSkew = 1.6
 	// maxLoadTime bounds the time for which a rank loads experts in one change, and minLoads is the number that it may load
 	// in any case.
 	maxLoadTime = 300 * time.Millisecond
@@ -325,6 +330,8 @@
 	// hasCounts is set once counts were read in this epoch, and verdict is what the latest showed.
 	hasCounts bool
 	verdict   estimator.Verdict
+	// isUneven is set while the load of the newest map is known to be uneven enough for another switch.
+	isUneven bool
 	// dueAt is when the counts are to be read next.
 	dueAt time.Time
 	// idleMoves is how often in a row the sampled ranks were idle.
@@ -471,6 +478,9 @@
 
 // countInterval returns the time before the counts of the group are read again.
 func (g *managedGroup) countInterval() time.Duration {
+	if g.isUneven {
+		return unevenCountInterval
+	}
 	switch g.verdict {
 	case estimator.VerdictShifted:
 		return shiftCountInterval
@@ -786,6 +796,8 @@
 		Experts: engine.Experts, Places: engine.Places, Spare: engine.Spare, TargetSkew: targetSkew,
 		Loads: maxLoads(engine.ExpertLoadTime),
 	})
+	g.isUneven = false
+	g.isUneven = false
 	skewBefore, skewAfter := rebalancer.Skew(g.layout, popularity), rebalancer.Skew(next, popularity)
 	if skewBefore < triggerSkew || skewBefore-skewAfter < minSkewGain {
 		l.cfg.Log.Event(logger.EventMapKept).Str("group", string(g.group.Name)).Uint64("epoch", uint64(g.group.Epoch)).
@@ -827,6 +839,7 @@
 	switch {
 	case err == nil:
 		g.layout = next
+		g.isUneven = skewAfter >= unevenSkew
 		return nil
 	case errors.Is(err, mapswitcher.ErrUnresolved):
 		g.unresolved = true
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -58,6 +58,10 @@
 	// orderDelay is how long each order takes, and armedAt when each rank was armed first.
 	orderDelay time.Duration
 	armedAt    map[string]time.Time
+	// arms holds when rank 0 was armed.
+	arms []time.Time
+	// popular makes the experts of rank 0 get all requests, which one switch cannot even out; there are 16 experts.
+	popular bool
 	// countReads counts the reads of the counts of the first group.
 	countReads int
 }
@@ -178,6 +182,13 @@
 	if group == "g" {
 		e.countReads++
 	}
+	if e.popular {
+		values := make([]float64, 16)
+		for i := 0; i < len(values); i += 2 {
+			values[i] = float64(1000 * e.step)
+		}
+		return mapswitcher.Counts{Step: e.step, Epoch: epoch, Counts: values}, nil
+	}
 	if e.idle[m.Address] {
 		if e.neverServed {
 			return mapswitcher.Counts{Step: e.step, Epoch: epoch, Counts: make([]float64, 4)}, nil
@@ -192,6 +203,12 @@
 	if m.Address != "0" && m.Address != "2" {
 		experts = []identifier.Expert{1, 3}
 	}
+	if e.popular {
+		experts = []identifier.Expert{0, 2, 4, 6, 8, 10, 12, 14}
+		if m.Address == "1" {
+			experts = []identifier.Expert{1, 3, 5, 7, 9, 11, 13, 15}
+		}
+	}
 	_, epoch, _ := e.group(m.Address)
 	return mapswitcher.RankMap{Epoch: epoch, Experts: [][]identifier.Expert{experts}}, nil
 }
@@ -219,6 +236,9 @@
 		delete(e.held, m.Address)
 	case mapswitcher.Arm:
 		e.armed[m.Address] = true
+		if m.Address == "0" {
+			e.arms = append(e.arms, time.Now())
+		}
 		if _, before := e.armedAt[m.Address]; !before && e.armedAt != nil {
 			e.armedAt[m.Address] = time.Now()
 		}
@@ -245,10 +265,12 @@
 
 // newLeader returns a leader on node a for a service whose upstreams are ranks 0 and 1 and the others.
 func newLeader(f *fixture, engines *fakeEngines, others ...cataloguer.Upstream) *mapleader.Leader {
+	engine := &cataloguer.Engine{Sets: 1, Experts: 4, Places: 3, Spare: 2}
+	if engines.popular {
+		engine = &cataloguer.Engine{Sets: 1, Experts: 16, Places: 16, Spare: 1}
+	}
 	fleet := cataloguer.Fleet{
-		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{
-			Name: "s", Engine: &cataloguer.Engine{Sets: 1, Experts: 4, Places: 3, Spare: 2},
-		}}}),
+		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{Name: "s", Engine: engine}}}),
 		Upstreams: append([]cataloguer.Upstream{
 			{ID: "a", Service: "s", Address: "0", Version: 5}, {ID: "b", Service: "s", Address: "1", Version: 6},
 		}, others...),
@@ -500,6 +522,19 @@
 	})
 }
 
+// Guards against a group that stays uneven for long because a rank may load few experts in one switch.
+func TestUnevenGroupSwitchesAgainSoon(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, popular: true}
+		stop := startLeader(t, newLeader(newFixture(), engines))
+		time.Sleep(2 * time.Second)
+		stop()
+		require.Greater(t, len(engines.arms), 1)
+		require.Less(t, engines.arms[1].Sub(engines.arms[0]), 250*time.Millisecond)
+	})
+}
+
 // Guards against ranks that stay without a map because they left one group for another.
 func TestRanksThatFormAnotherGroupAreFound(t *testing.T) {
 	t.Parallel()
