Publish metrics by group

Change: groupOpen, groupRanks and groupRunning at each gateway, groupSkew and groupMapAge at the leader, by service and group.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -200,6 +200,7 @@
 		Log:              g.log,
 		Meter:            g.meter,
 	})
+	g.publishGroups()
 	return g, nil
 }
 
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -8,6 +8,7 @@
 
 	"currantledge.example/currantledge/internal/connection/federator"
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
@@ -76,6 +77,47 @@
 	return maps.Clone(g.open)
 }
 
+// publishGroups publishes the metrics by group.
+func (g *gateway) publishGroups() {
+	byGroup := func(value func(admitter.GroupStatus) float64) func() map[string]float64 {
+		return func() map[string]float64 {
+			out := map[string]float64{}
+			for id, status := range g.admitter.Groups() {
+				out[groupLabel(id)] = value(status)
+			}
+			return out
+		}
+	}
+	g.meter.SetGauges(meter.GroupOpen, byGroup(func(s admitter.GroupStatus) float64 {
+		if s.Open {
+			return 1
+		}
+		return 0
+	}))
+	g.meter.SetGauges(meter.GroupRanks, byGroup(func(s admitter.GroupStatus) float64 { return float64(s.Ranks) }))
+	g.meter.SetGauges(meter.GroupRunning, byGroup(func(s admitter.GroupStatus) float64 { return float64(s.Running) }))
+	g.meter.SetGauges(meter.GroupSkew, func() map[string]float64 {
+		out := map[string]float64{}
+		for id, status := range g.leader.Groups() {
+			out[groupLabel(id)] = status.Skew
+		}
+		return out
+	})
+	g.meter.SetGauges(meter.GroupMapAge, func() map[string]float64 {
+		out := map[string]float64{}
+		for id, status := range g.leader.Groups() {
+			if !status.SwitchedAt.IsZero() {
+				out[groupLabel(id)] = time.Since(status.SwitchedAt).Seconds()
+			}
+		}
+		return out
+	})
+}
+
+func groupLabel(id identifier.GroupID) string {
+	return string(id.Service) + "/" + string(id.Group)
+}
+
 const (
 	// leaderTimeout is how long no datagram of the leader may arrive before another gateway takes over: three lost
 	// datagrams in a row. A group that the leader was holding has to continue before its clients disconnect after 2 s.
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -54,6 +54,12 @@
 	MapsAbandoned    Name = "mapsAbandoned"
 	LogLinesDropped  Name = "logLinesDropped"
 
+	GroupOpen    Name = "groupOpen"
+	GroupRanks   Name = "groupRanks"
+	GroupRunning Name = "groupRunning"
+	GroupSkew    Name = "groupSkew"
+	GroupMapAge  Name = "groupMapAge"
+
 	GatewayWaitMs      Name = "gatewayWaitMs"
 	GatewayFirstByteMs Name = "gatewayFirstByteMs"
 	GatewayAnswerMs    Name = "gatewayAnswerMs"
@@ -88,6 +94,12 @@
 	m.vars.Set(string(name), expvar.Func(func() any { return read() }))
 }
 
+// SetGauges publishes the result of a function as gauges by label. The function is called on each read, possibly
+// concurrently.
+func (m *Meter) SetGauges(name Name, read func() map[string]float64) {
+	m.vars.Set(string(name), expvar.Func(func() any { return read() }))
+}
+
 // Handler returns a handler that serves all expvar variables of the process as JSON.
 func Handler() http.Handler {
 	return expvar.Handler()
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -203,3 +203,32 @@
 	}
 	return least, known
 }
+
+// GroupStatus is what this gateway knows of a group.
+type GroupStatus struct {
+	Open bool
+	// Ranks is the number of ranks that may receive requests, and Running that of the requests of this gateway there.
+	Ranks   int
+	Running int
+}
+
+// Groups returns the status of each group of ranks.
+func (a *Admitter) Groups() map[identifier.GroupID]GroupStatus {
+	a.mu.Lock()
+	defer a.unlock()
+	out := map[identifier.GroupID]GroupStatus{}
+	for _, u := range a.upstreams {
+		if a.service(u.Service).Engine == nil {
+			continue
+		}
+		id := identifier.GroupID{Service: u.Service, Group: u.group.name}
+		status := out[id]
+		status.Open = !u.group.closed
+		status.Running += u.running
+		if a.usable(u) {
+			status.Ranks++
+		}
+		out[id] = status
+	}
+	return out
+}
--- a/internal/request/admitter/group_test.go
+++ b/internal/request/admitter/group_test.go
@@ -36,6 +36,7 @@
 		g := requireGranted(t, f.Submit(now, request(model, now)))
 		require.NotEqual(t, first.Upstream.Group, g.Upstream.Group)
 	}
+	require.Equal(t, admitter.GroupStatus{Ranks: 2}, f.Groups()[identifier.GroupID{Service: model, Group: first.Upstream.Group}])
 	// All slots of the open group are in use: the next request probes the closed one, those after it wait.
 	probe := requireGranted(t, f.Submit(now, request(model, now)))
 	require.Equal(t, first.Upstream.Group, probe.Upstream.Group)
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -112,7 +112,10 @@
 	cfg     Config
 	leading atomic.Bool
 	// tenure is the fence that the lease had when the leader last managed no group. Map versions start from it.
-	tenure    uint64
+	tenure   uint64
+	statusMu sync.Mutex
+	// status holds what is known of the managed groups; statusMu guards it.
+	status    map[identifier.GroupID]GroupStatus
 	versionMu sync.Mutex
 	// version is the last map version that this leader has used; versionMu guards it.
 	version uint64
@@ -143,6 +146,7 @@
 		cfg:        cfg,
 		estimators: map[identifier.GroupID]*estimator.Estimator{},
 		lost:       map[identifier.GroupID][]string{},
+		status:     map[identifier.GroupID]GroupStatus{},
 		searchedAt: map[identifier.Service]time.Time{},
 		openedAt:   map[identifier.GroupID]time.Time{},
 		replaced:   map[identifier.Upstream]uint64{},
@@ -176,6 +180,43 @@
 	return false
 }
 
+// GroupStatus is what the leader knows of a group that it manages.
+type GroupStatus struct {
+	// Skew is the work of the most loaded rank by the last counts, as a multiple of the mean.
+	Skew float64
+	// SwitchedAt is when this leader last switched the map of the group; zero if it has not.
+	SwitchedAt time.Time
+}
+
+// Groups returns the status of the managed groups; none if this gateway does not lead. It may be called concurrently.
+func (l *Leader) Groups() map[identifier.GroupID]GroupStatus {
+	if !l.Leading() {
+		return nil
+	}
+	l.statusMu.Lock()
+	defer l.statusMu.Unlock()
+	return maps.Clone(l.status)
+}
+
+// recordSkew records the skew of a group, and that its map was just switched if that is set.
+func (l *Leader) recordSkew(id identifier.GroupID, skew float64, switched bool) {
+	l.statusMu.Lock()
+	defer l.statusMu.Unlock()
+	status := l.status[id]
+	status.Skew = skew
+	if switched {
+		status.SwitchedAt = time.Now()
+	}
+	l.status[id] = status
+}
+
+// forget removes the status of a group that is no longer managed.
+func (l *Leader) forget(id identifier.GroupID) {
+	l.statusMu.Lock()
+	defer l.statusMu.Unlock()
+	delete(l.status, id)
+}
+
 // wait returns when the time has passed, a group opens or the context ends.
 func (l *Leader) wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -293,6 +334,9 @@
 	managed := map[identifier.GroupID]*managedGroup{}
 	for ctx.Err() == nil {
 		if !l.Leading() {
+			for id := range managed {
+				l.forget(id)
+			}
 			clear(managed)
 			clear(l.lost)
 			l.wait(ctx, groupRetryInterval)
@@ -374,6 +418,7 @@
 		}
 		id := g.id()
 		delete(managed, id)
+		l.forget(id)
 		l.lost[id] = g.addresses()
 		var replaced *mapswitcher.ReplacedError
 		if errors.As(err, &replaced) {
@@ -799,6 +844,7 @@
 	g.isUneven = false
 	g.isUneven = false
 	skewBefore, skewAfter := rebalancer.Skew(g.layout, popularity), rebalancer.Skew(next, popularity)
+	l.recordSkew(g.id(), skewBefore, false)
 	if skewBefore < triggerSkew || skewBefore-skewAfter < minSkewGain {
 		l.cfg.Log.Event(logger.EventMapKept).Str("group", string(g.group.Name)).Uint64("epoch", uint64(g.group.Epoch)).
 			Float64("skewBefore", skewBefore).Float64("skewAfter", skewAfter).Send()
@@ -839,6 +885,7 @@
 	switch {
 	case err == nil:
 		g.layout = next
+		l.recordSkew(g.id(), skewAfter, true)
 		g.isUneven = skewAfter >= unevenSkew
 		return nil
 	case errors.Is(err, mapswitcher.ErrUnresolved):
