Ask another rank of a lost group when one does not respond

Cause: the leader asks one rank of a lost group whether it is closed. If that rank is the one that is dark, it went on to read all ranks, six times 150 ms for the dark one, and the maps of the service's other groups waited for that. Change: up to three ranks are asked until one responds. Result: the test with a dark rank fails with one (the opening is noticed late) and passes with three.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -48,6 +48,8 @@
 	// maxCallTries bounds the calls to a rank that times out or fails. Ranks may fail a part of their calls for seconds,
 	// and a group is read only if all of its ranks respond.
 	maxCallTries = 6
+	// maxProbes bounds the calls that look for one rank of a group that responds. The rank that closed the group may not.
+	maxProbes = 3
 	// releaseTimeout bounds the write that releases the lease.
 	releaseTimeout = 300 * time.Millisecond
 	// leaseInterval is the time between two checks of the lease.
@@ -644,13 +646,17 @@
 	}
 }
 
-// isClosed reports whether one of the upstreams reports that the wanted group is closed, which one call shows most often.
-// Without a wanted group, it has to be that of most of them.
+// isClosed reports whether the first of the upstreams that responds reports that the wanted group is closed, which one
+// call shows most often. Without a wanted group, it has to be that of most of them.
 func (l *Leader) isClosed(ctx context.Context, wanted identifier.GroupID, members []mapswitcher.Member) bool {
-	l.probes++
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := l.cfg.Engines.Report(callCtx, members[l.probes%len(members)])
+	var report mapswitcher.Report
+	err := errors.New("no probe")
+	for probe := 0; err != nil && probe < min(maxProbes, len(members)); probe++ {
+		l.probes++
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		report, err = l.cfg.Engines.Report(callCtx, members[l.probes%len(members)])
+		cancel()
+	}
 	if err != nil || report.Open || report.Group == "" {
 		return false
 	}
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -71,6 +71,8 @@
 	name   identifier.ModelGroup
 	epoch  mapswitcher.Epoch
 	closed bool
+	// dark makes its first rank not respond.
+	dark bool
 }
 
 // setSecond sets the state of the second group.
@@ -100,6 +102,12 @@
 	return e.countReads
 }
 
+func (e *fakeEngines) isDark(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.second.dark && address == "2"
+}
+
 // state returns what the leader reported last of a group of the service.
 func (e *fakeEngines) state(name identifier.ModelGroup) (open, known bool) {
 	e.mu.Lock()
@@ -159,7 +167,11 @@
 	return e.orders > 0
 }
 
-func (e *fakeEngines) Report(_ context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+func (e *fakeEngines) Report(ctx context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+	if e.isDark(m.Address) {
+		<-ctx.Done()
+		return mapswitcher.Report{}, ctx.Err()
+	}
 	if e.silent.Load() && m.Address == "1" || e.faulty.Load() && e.failsReport() {
 		return mapswitcher.Report{}, errNoResponse
 	}
@@ -488,7 +500,7 @@
 		defer stop()
 		time.Sleep(2 * time.Second)
 		require.True(t, engines.allSwitched())
-		engines.setSecond(secondGroup{name: "h", epoch: 2, closed: true})
+		engines.setSecond(secondGroup{name: "h", epoch: 2, closed: true, dark: true})
 		time.Sleep(time.Second)
 		open, known := engines.state("h")
 		require.True(t, known && !open)
