Leave groups without usable ranks out of the estimate of an outage

Cause: an upstream whose group is not known and which gets no requests, for example one that leaves, counted as an open group. While all groups of its service were closed, new requests waited for slots until their deadline instead of being refused at once. Change: only groups with a rank that the request may use count. Found by reading.

--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -188,11 +188,11 @@
 	a.pendingNotifications = append(a.pendingNotifications, func() { a.cfg.OnGroupChange(change) })
 }
 
-// remainingOutage returns the estimated time until the first group of a service opens, and whether all are closed. A group
-// is assumed to stay closed for at least half of the time that it has been closed already.
-func (s *service) remainingOutage(now time.Time) (time.Duration, bool) {
+// remainingOutage returns the estimated time until the first of some groups opens, and whether all are closed. A group is
+// assumed to stay closed for at least half of the time that it has been closed already.
+func remainingOutage(now time.Time, groups map[*group]bool) (time.Duration, bool) {
 	least, known := time.Duration(0), false
-	for _, g := range s.groups {
+	for g := range groups {
 		if !g.closed {
 			return 0, false
 		}
--- a/internal/request/admitter/group_test.go
+++ b/internal/request/admitter/group_test.go
@@ -64,6 +64,19 @@
 	require.Equal(t, identifier.Upstream("b0"), requireGrantedUpstream(t, waiting))
 }
 
+// Guards against a refusal for overload, which does not tell the client of the outage, because an upstream without a group
+// that may get no requests counts as an open group.
+func TestGroupsWithoutUsableRanksAreNotOpen(t *testing.T) {
+	t.Parallel()
+	leaving := upstream("old", model, 2)
+	leaving.Draining = true
+	f := newFixture(rank("a0", "a", 2), rank("b0", "b", 2), leaving)
+	for _, name := range []identifier.ModelGroup{"a", "b"} {
+		f.GroupClosed(start, identifier.GroupID{Service: model, Group: name})
+	}
+	require.Equal(t, admitter.ReasonGroupClosed, requireRefused(t, f.Submit(start, request(model, start))).Reason)
+}
+
 // Guards against a closed group that counts as open once the gateway learns the names of the groups.
 func TestRanksKeepTheirStateWhenTheirGroupBecomesKnown(t *testing.T) {
 	t.Parallel()
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// choose returns the best upstream of a random sample of those in some groups that can accept the request, or nil. The counts of other
-// gateways are some hundred milliseconds old: if every gateway chose the best of all, many would choose the same one at
-// the same time.
+// choose returns the best upstream of a random sample of those in some groups that can accept the request, or nil. The
+// counts of other gateways are some hundred milliseconds old: if every gateway chose the best of all, many would choose
+// the same one at the same time.
 func (a *Admitter) choose(now time.Time, s *service, request Request, groups map[*group]bool) *upstream {
 	if request.IsolateBy != "" {
 		u := a.isolationUpstream(request)
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -129,23 +129,25 @@
 // refusal returns the refusal of a request that cannot be served in time, and false for any other request. Estimates of
 // the wait do not refuse a request whose client does not retry.
 func (a *Admitter) refusal(now time.Time, s *service, t *Ticket) (Refused, bool) {
-	remaining, closed := s.remainingOutage(now)
+	usable := map[*group]bool{}
+	openSlots := 0
+	for _, u := range a.upstreams {
+		if u.Service != s.Name || !a.usable(u) || t.request.Exclude[u.ID] {
+			continue
+		}
+		usable[u.group] = true
+		if !u.group.closed {
+			openSlots += a.usableSlots(s, u)
+		}
+	}
+	remaining, closed := remainingOutage(now, usable)
 	if !now.Before(t.request.GrantUntil) {
 		if closed {
 			return newRefused(now, t, ReasonGroupClosed, maxRetryAfter), true
 		}
 		return newRefused(now, t, ReasonDeadline, s.serviceTime), true
 	}
-	slots, usable := 0, 0
-	for _, u := range a.upstreams {
-		if u.Service == s.Name && a.usable(u) && !t.request.Exclude[u.ID] {
-			usable++
-			if closed || !u.group.closed {
-				slots += a.usableSlots(s, u)
-			}
-		}
-	}
-	if usable == 0 {
+	if len(usable) == 0 {
 		return newRefused(now, t, ReasonNoUpstream, time.Second), true
 	}
 	if t.request.NoClientRetry {
@@ -161,7 +163,7 @@
 	}
 	// The queues of all gateways are assumed to be equally long.
 	ahead := a.ahead(s, t) * a.gateways
-	wait := time.Duration(float64(s.serviceTime) * float64(ahead) / float64(max(slots, 1)))
+	wait := time.Duration(float64(s.serviceTime) * float64(ahead) / float64(max(openSlots, 1)))
 	if now.Add(wait).After(t.request.GrantUntil) {
 		return newRefused(now, t, ReasonOverload, wait), true
 	}
