Let no listed test hide a package that did not run to its end

Cause: the failure of a package counted only if none of its tests had failed. After a panic in a listed test the tests behind it did not run, and the run passed. Change: the failure of a package also counts if the line is missing that the testing package prints after all tests. Result: the cases panic and exit pass the run before, and fail it after; a listed failure alone still passes.

--- a/internal/prover/testrunner/testrunner.go
+++ b/internal/prover/testrunner/testrunner.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"slices"
 	"sort"
 	"strings"
 
@@ -145,7 +146,7 @@
 
 // finish prints the failures and a summary, and returns an error if a failure was unexpected or go test failed for
 // another reason. A package fails when one of its tests fails, so the failure of a package counts only if none of its
-// tests failed, as after a build error or a crash.
+// tests failed, as after a build error, or if it did not run to its end, as after a panic.
 func (c *collector) finish(waitErr error) error {
 	hasFailedTest := map[string]bool{}
 	for _, name := range c.failed {
@@ -158,7 +159,7 @@
 	})
 	unexpected := 0
 	for _, name := range c.failed {
-		if name.Test == "" && hasFailedTest[name.Package] {
+		if name.Test == "" && hasFailedTest[name.Package] && c.hasEnded(name.Package) {
 			continue
 		}
 		fmt.Fprint(c.out, strings.Join(c.output[name], ""))
@@ -179,6 +180,12 @@
 	return nil
 }
 
+// hasEnded reports whether a package with failed tests ran all of them: the testing package then prints a line, which is
+// missing after a panic, an exit or the timeout of go test.
+func (c *collector) hasEnded(name string) bool {
+	return slices.Contains(c.output[testName{Package: name}], "FAIL\n")
+}
+
 // isKnown reports whether a failure is listed. A test whose failed subtests are all listed is known too, since it fails
 // with them.
 func (c *collector) isKnown(name testName) bool {
