Look for a group that was closed at first as for a lost one

Cause: a group that was closed when a gateway began to lead belonged to no known group, and while another one was managed, unknown groups were searched for once a second only, so its first map came up to 1 s after it had opened. Change: a group that reports itself as closed is a lost one from then on, with one call a round. The estimator of a group without listed ranks is dropped.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -123,7 +123,7 @@
 	version uint64
 	// estimators holds the last estimator of each group; it outlives the epoch of a group.
 	estimators map[identifier.GroupID]*estimator.Estimator
-	// lost holds the addresses of the ranks of the groups that were managed and have to be discovered again.
+	// lost holds the addresses of the ranks of groups that were managed or closed and have to be discovered.
 	lost map[identifier.GroupID][]string
 	// searchedAt holds when unknown groups of each service were last searched for.
 	searchedAt map[identifier.Service]time.Time
@@ -421,7 +421,7 @@
 		id := g.id()
 		delete(managed, id)
 		l.forget(id)
-		l.lost[id] = g.addresses()
+		l.lost[id] = addresses(g.group.Members)
 		var replaced *mapswitcher.ReplacedError
 		if errors.As(err, &replaced) {
 			l.markReplaced(replaced.Upstream)
@@ -457,9 +457,9 @@
 	}
 	unowned := slices.DeleteFunc(slices.Clone(free), func(m mapswitcher.Member) bool { return owned[m.Address] })
 	for _, id := range lost {
-		addresses := l.lost[id]
-		members := slices.DeleteFunc(slices.Clone(free), func(m mapswitcher.Member) bool { return owned[m.Address] && !slices.Contains(addresses, m.Address) })
-		l.discoverGroups(ctx, s, id, members, managed)
+		own := l.lost[id]
+		isOthers := func(m mapswitcher.Member) bool { return owned[m.Address] && !slices.Contains(own, m.Address) }
+		l.discoverGroups(ctx, s, id, slices.DeleteFunc(slices.Clone(free), isOthers), managed)
 	}
 	switch {
 	case len(unowned) == 0:
@@ -492,6 +492,7 @@
 		}
 		if !slices.ContainsFunc(free, func(m mapswitcher.Member) bool { return slices.Contains(addresses, m.Address) }) {
 			delete(l.lost, id)
+			delete(l.estimators, id)
 			continue
 		}
 		out = append(out, id)
@@ -514,10 +515,10 @@
 	l.discoverGroups(ctx, s, identifier.GroupID{Service: s.Name}, candidates, managed)
 }
 
-// addresses returns the addresses of the ranks.
-func (g *managedGroup) addresses() []string {
-	out := make([]string, 0, len(g.group.Members))
-	for _, m := range g.group.Members {
+// addresses returns the addresses of ranks.
+func addresses(members []mapswitcher.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
 		out = append(out, m.Address)
 	}
 	return out
@@ -627,6 +628,7 @@
 		if !reported.complete(l.recentlyOpened(id)) {
 			// Neither a rank that does not respond nor a failed recovery from an earlier switch means that the group is closed.
 			if closed[id] {
+				l.lost[id] = addresses(reported.members)
 				l.cfg.OnGroupState(id, false)
 			}
 			continue
@@ -641,7 +643,7 @@
 		delete(l.lost, id)
 		l.cfg.Log.Event(logger.EventGroupFound).Str("service", string(s.Name)).Str("group", string(id.Group)).
 			Uint64("epoch", uint64(g.group.Epoch)).Int("ranks", len(g.group.Members)).Send()
-		l.cfg.OnGroupFound(id, g.addresses(), uint64(l.nextVersion()))
+		l.cfg.OnGroupFound(id, addresses(g.group.Members), uint64(l.nextVersion()))
 		l.cfg.OnGroupState(id, true)
 	}
 }
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -518,6 +518,22 @@
 	})
 }
 
+// Guards against a group that was closed when this gateway began to lead and that gets no map soon after it opens.
+func TestGroupThatWasClosedAtFirstIsFoundSoon(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true}
+		engines.setSecond(secondGroup{name: "h", epoch: 1, closed: true})
+		stop := startLeader(t, newTwoGroupLeader(engines))
+		defer stop()
+		time.Sleep(2100 * time.Millisecond)
+		require.True(t, engines.switched())
+		engines.setSecond(secondGroup{name: "h", epoch: 2})
+		time.Sleep(maxSwitchTime)
+		require.True(t, engines.allSwitched())
+	})
+}
+
 // Guards against groups that wait for each other's switches when demand shifts for all.
 func TestGroupsSwitchAtTheSameTime(t *testing.T) {
 	t.Parallel()
