--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -302,29 +302,35 @@
 	})
 }
 
-// Guards against a group that stays held because its leader was stopped between holding and releasing it.
+// Guards against a group that stays held because its leader was stopped between holding and releasing it, also while the
+// leader switched another group.
 func TestStoppedLeaderLeavesNothingHeld(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}
-		var once sync.Once
-		stopped := make(chan struct{})
-		engines.onArm = func() {
-			once.Do(func() { close(stopped) })
-			cancel()
-		}
-		l := newLeader(newFixture(), engines)
-		var running sync.WaitGroup
-		running.Go(func() { _ = l.RunLease(ctx) })
-		running.Go(func() { _ = l.Run(ctx) })
-		running.Wait()
-		time.Sleep(time.Second)
-		<-stopped
-		require.Empty(t, engines.held)
-		require.Empty(t, engines.armed)
-		require.False(t, l.Leading())
-	})
+	for _, twoGroups := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, twoGroups: twoGroups}
+			var once sync.Once
+			stopped := make(chan struct{})
+			engines.onArm = func() {
+				once.Do(func() { close(stopped) })
+				cancel()
+			}
+			l := newLeader(newFixture(), engines)
+			if twoGroups {
+				l = newTwoGroupLeader(engines)
+			}
+			var running sync.WaitGroup
+			running.Go(func() { _ = l.RunLease(ctx) })
+			running.Go(func() { _ = l.Run(ctx) })
+			running.Wait()
+			time.Sleep(time.Second)
+			<-stopped
+			require.Empty(t, engines.held)
+			require.Empty(t, engines.armed)
+			require.False(t, l.Leading())
+		})
+	}
 }
 
 // Guards against a group that keeps its first map until reports show it as open, although requests have shown that
