Rebalance services of groups at the same time

Cause: the leader did the services one after the other, so the groups of one waited for the searches and switches of another.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -4,7 +4,6 @@
 package mapleader
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -121,12 +120,8 @@
 	versionMu sync.Mutex
 	// version is the last map version that this leader has used; versionMu guards it.
 	version uint64
-	// estimators holds the last estimator of each group; it outlives the epoch of a group.
-	estimators map[identifier.GroupID]*estimator.Estimator
-	// lost holds the addresses of the ranks of groups that were managed or closed and have to be discovered.
-	lost map[identifier.GroupID][]string
-	// searchedAt holds when unknown groups of each service were last searched for.
-	searchedAt map[identifier.Service]time.Time
+	// services holds the state of each service; only Run uses it.
+	services map[identifier.Service]*serviceState
 	// failingSince is when the first of the renewals that have failed in a row started; zero if the last one succeeded.
 	failingSince time.Time
 	// ordersMu is held while orders are issued, so that the lease is not resigned during a switch.
@@ -136,23 +131,16 @@
 	openedAt map[identifier.GroupID]time.Time
 	// wake interrupts wait when a group opens.
 	wake chan struct{}
-	// replaced maps each upstream whose address another upstream has taken over to the version of its row.
-	replaced map[identifier.Upstream]uint64
-	// probes counts the probes of single ranks; each probe goes to the next rank.
-	probes int
 }
 
 // New returns a Leader.
 func New(cfg Config) *Leader {
 	return &Leader{
-		cfg:        cfg,
-		estimators: map[identifier.GroupID]*estimator.Estimator{},
-		lost:       map[identifier.GroupID][]string{},
-		status:     map[identifier.GroupID]GroupStatus{},
-		searchedAt: map[identifier.Service]time.Time{},
-		openedAt:   map[identifier.GroupID]time.Time{},
-		replaced:   map[identifier.Upstream]uint64{},
-		wake:       make(chan struct{}, 1),
+		cfg:      cfg,
+		services: map[identifier.Service]*serviceState{},
+		status:   map[identifier.GroupID]GroupStatus{},
+		openedAt: map[identifier.GroupID]time.Time{},
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -333,33 +321,65 @@
 
 // Run rebalances the groups while this gateway leads, until the context ends.
 func (l *Leader) Run(ctx context.Context) error {
-	managed := map[identifier.GroupID]*managedGroup{}
 	for ctx.Err() == nil {
 		if !l.Leading() {
-			for id := range managed {
-				l.forget(id)
-			}
-			clear(managed)
-			clear(l.lost)
+			l.abandon()
 			l.wait(ctx, groupRetryInterval)
 			continue
 		}
-		if fence := l.cfg.Lease.Fence(); l.tenure == 0 || len(managed) == 0 {
+		if fence := l.cfg.Lease.Fence(); l.tenure == 0 || !l.managesGroups() {
 			l.tenure = fence
 		}
-		next := countInterval
 		l.ordersMu.Lock()
-		for _, s := range l.groupServices() {
-			if l.Leading() {
-				next = min(next, l.rebalanceService(ctx, s, managed))
-			}
-		}
+		next := l.rebalanceServices(ctx)
 		l.ordersMu.Unlock()
 		l.wait(ctx, next)
 	}
 	return nil
 }
 
+// rebalanceServices rebalances the groups of all services at the same time and returns the time until the next call.
+func (l *Leader) rebalanceServices(ctx context.Context) time.Duration {
+	services := l.groupServices()
+	maps.DeleteFunc(l.services, func(name identifier.Service, _ *serviceState) bool {
+		return !slices.ContainsFunc(services, func(s cataloguer.Service) bool { return s.Name == name })
+	})
+	waits := make([]time.Duration, len(services))
+	var wg sync.WaitGroup
+	for i, s := range services {
+		st, found := l.services[s.Name]
+		if !found {
+			st = newServiceState()
+			l.services[s.Name] = st
+		}
+		st.Service = s
+		wg.Go(func() { waits[i] = l.rebalanceService(ctx, st) })
+	}
+	wg.Wait()
+	return slices.Min(append(waits, countInterval))
+}
+
+// managesGroups reports whether any group is managed.
+func (l *Leader) managesGroups() bool {
+	for _, st := range l.services {
+		if len(st.managed) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// abandon forgets the groups, since another gateway may lead them now.
+func (l *Leader) abandon() {
+	for _, st := range l.services {
+		for id := range st.managed {
+			l.forget(id)
+		}
+		clear(st.managed)
+		clear(st.lost)
+	}
+}
+
 // managedGroup is the state that the leader keeps for one epoch of a group.
 type managedGroup struct {
 	service   cataloguer.Service
@@ -391,15 +411,15 @@
 
 // rebalanceService discovers the groups of a service that are not managed, rebalances the managed ones that are due and
 // returns the time until the next call.
-func (l *Leader) rebalanceService(ctx context.Context, s cataloguer.Service, managed map[identifier.GroupID]*managedGroup) time.Duration {
-	l.search(ctx, s, managed)
+func (l *Leader) rebalanceService(ctx context.Context, st *serviceState) time.Duration {
+	l.search(ctx, st)
 	started := time.Now()
 	next := countInterval
 	due := map[*managedGroup]error{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for id, g := range managed {
-		if id.Service != s.Name || g.dueAt.After(started) {
+	for _, g := range st.managed {
+		if g.dueAt.After(started) {
 			continue
 		}
 		if !g.hasCounts {
@@ -419,111 +439,24 @@
 			continue
 		}
 		id := g.id()
-		delete(managed, id)
+		delete(st.managed, id)
 		l.forget(id)
-		l.lost[id] = addresses(g.group.Members)
+		st.lost[id] = addresses(g.group.Members)
 		var replaced *mapswitcher.ReplacedError
 		if errors.As(err, &replaced) {
-			l.markReplaced(replaced.Upstream)
+			l.markReplaced(st, replaced.Upstream)
 			next = 0
 		}
 	}
-	isSearching := true
-	for id, g := range managed {
-		if id.Service == s.Name {
-			isSearching = false
-			next = min(next, max(time.Until(g.dueAt), 0))
-		}
-	}
-	for id := range l.lost {
-		isSearching = isSearching || id.Service == s.Name
+	for _, g := range st.managed {
+		next = min(next, max(time.Until(g.dueAt), 0))
 	}
-	if isSearching {
+	if len(st.managed) == 0 || len(st.lost) > 0 {
 		next = min(next, groupRetryInterval)
 	}
 	return next
 }
 
-// search discovers the groups of a service that are not managed: each lost group by itself, since its ranks fail and
-// recover together, and unknown ones among the upstreams that belong to no other group.
-func (l *Leader) search(ctx context.Context, s cataloguer.Service, managed map[identifier.GroupID]*managedGroup) {
-	free, managedCount := l.freeMembers(s.Name, managed)
-	lost := l.lostGroups(s.Name, free)
-	owned := map[string]bool{}
-	for _, id := range lost {
-		for _, address := range l.lost[id] {
-			owned[address] = true
-		}
-	}
-	unowned := slices.DeleteFunc(slices.Clone(free), func(m mapswitcher.Member) bool { return owned[m.Address] })
-	for _, id := range lost {
-		own := l.lost[id]
-		isOthers := func(m mapswitcher.Member) bool { return owned[m.Address] && !slices.Contains(own, m.Address) }
-		l.discoverGroups(ctx, s, id, slices.DeleteFunc(slices.Clone(free), isOthers), managed)
-	}
-	switch {
-	case len(unowned) == 0:
-	case managedCount == 0 && len(lost) == 0:
-		l.discoverGroups(ctx, s, identifier.GroupID{Service: s.Name}, unowned, managed)
-	case time.Since(l.searchedAt[s.Name]) >= groupSearchInterval:
-		l.searchedAt[s.Name] = time.Now()
-		l.searchUnknown(ctx, s, unowned, managed)
-	}
-}
-
-// freeMembers returns the upstreams of a service that belong to no managed group, and the number of the managed groups.
-func (l *Leader) freeMembers(s identifier.Service, managed map[identifier.GroupID]*managedGroup) ([]mapswitcher.Member, int) {
-	members, count := l.members(s), 0
-	for id, g := range managed {
-		if id.Service == s {
-			count++
-			members = slices.DeleteFunc(members, func(m mapswitcher.Member) bool { return slices.Contains(g.group.Members, m) })
-		}
-	}
-	return members, count
-}
-
-// lostGroups returns the lost groups of a service in order. Those of which no rank is listed any more are forgotten.
-func (l *Leader) lostGroups(s identifier.Service, free []mapswitcher.Member) []identifier.GroupID {
-	var out []identifier.GroupID
-	for id, addresses := range l.lost {
-		if id.Service != s {
-			continue
-		}
-		if !slices.ContainsFunc(free, func(m mapswitcher.Member) bool { return slices.Contains(addresses, m.Address) }) {
-			delete(l.lost, id)
-			delete(l.estimators, id)
-			continue
-		}
-		out = append(out, id)
-	}
-	slices.SortFunc(out, func(a, b identifier.GroupID) int { return cmp.Compare(a.Group, b.Group) })
-	return out
-}
-
-// searchUnknown calls upstreams once and reads further only if one reports an unknown group that is open.
-func (l *Leader) searchUnknown(ctx context.Context, s cataloguer.Service, members []mapswitcher.Member, managed map[identifier.GroupID]*managedGroup) {
-	reports, errs := gather(ctx, members, 1, l.cfg.Engines.Report)
-	var candidates []mapswitcher.Member
-	for i, r := range reports {
-		id := identifier.GroupID{Service: s.Name, Group: r.Group}
-		// An upstream that has ended may still be listed beside its successor in a managed group.
-		if errs[i] == nil && r.Open && r.Group != "" && managed[id] == nil {
-			candidates = append(candidates, members[i])
-		}
-	}
-	l.discoverGroups(ctx, s, identifier.GroupID{Service: s.Name}, candidates, managed)
-}
-
-// addresses returns the addresses of ranks.
-func addresses(members []mapswitcher.Member) []string {
-	out := make([]string, 0, len(members))
-	for _, m := range members {
-		out = append(out, m.Address)
-	}
-	return out
-}
-
 // countInterval returns the time before the counts of the group are read again.
 func (g *managedGroup) countInterval() time.Duration {
 	if g.isUneven {
@@ -541,44 +474,6 @@
 	return countInterval
 }
 
-// members returns the upstreams of a service, those with older rows first. The row of an upstream that has ended stays
-// listed for some seconds, while its successor responds at the same address. The successor is listed later than it
-// responds, after an outage of the platform's store only.
-func (l *Leader) members(s identifier.Service) []mapswitcher.Member {
-	upstreams := slices.Clone(l.cfg.Fleet().Upstreams)
-	slices.SortStableFunc(upstreams, func(a, b cataloguer.Upstream) int { return cmp.Compare(a.Version, b.Version) })
-	var out []mapswitcher.Member
-	listed := map[string]bool{}
-	for _, u := range upstreams {
-		if u.Service == s && l.replaced[u.ID] != u.Version {
-			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address})
-			listed[u.Address] = true
-		}
-	}
-	for _, u := range upstreams {
-		if u.Service == s && !listed[u.Address] {
-			out = append(out, mapswitcher.Member{Upstream: u.ID, Address: u.Address, Unlisted: true})
-			listed[u.Address] = true
-		}
-	}
-	return out
-}
-
-// markReplaced records that another upstream has the address of an upstream, until the row of the latter changes.
-func (l *Leader) markReplaced(id identifier.Upstream) {
-	upstreams := l.cfg.Fleet().Upstreams
-	for known := range l.replaced {
-		if !slices.ContainsFunc(upstreams, func(u cataloguer.Upstream) bool { return u.ID == known }) {
-			delete(l.replaced, known)
-		}
-	}
-	for _, u := range upstreams {
-		if u.ID == id {
-			l.replaced[id] = u.Version
-		}
-	}
-}
-
 // gather calls a function for all members concurrently, up to some times for each until it succeeds. It returns
 // the results and errors by member; the error is that of the last try.
 func gather[T any](ctx context.Context, members []mapswitcher.Member, tries int, call func(context.Context, mapswitcher.Member) (T, error)) ([]T, []error) {
@@ -601,139 +496,6 @@
 	return out, errs
 }
 
-// discoverGroups adds the groups of some upstreams of which all ranks report to the managed ones. A name is given for a
-// lost group. It reports which groups are open or closed.
-func (l *Leader) discoverGroups(ctx context.Context, s cataloguer.Service, wanted identifier.GroupID, members []mapswitcher.Member, managed map[identifier.GroupID]*managedGroup) {
-	if len(members) == 0 {
-		return
-	}
-	if !l.recentlyOpened(wanted) && l.isClosed(ctx, wanted, members) {
-		return
-	}
-	reports, errs := gather(ctx, members, maxCallTries, l.cfg.Engines.Report)
-	groups := map[identifier.GroupID]*groupReports{}
-	closed := map[identifier.GroupID]bool{}
-	for i, r := range reports {
-		id := identifier.GroupID{Service: s.Name, Group: r.Group}
-		if errs[i] != nil || r.Group == "" || managed[id] != nil {
-			continue
-		}
-		closed[id] = closed[id] || !r.Open && !l.recentlyOpened(id)
-		if groups[id] == nil {
-			groups[id] = &groupReports{}
-		}
-		groups[id].add(members[i], r)
-	}
-	for id, reported := range groups {
-		if !reported.complete(l.recentlyOpened(id)) {
-			// Neither a rank that does not respond nor a failed recovery from an earlier switch means that the group is closed.
-			if closed[id] {
-				l.lost[id] = addresses(reported.members)
-				l.cfg.OnGroupState(id, false)
-			}
-			continue
-		}
-		g, err := l.newManagedGroup(ctx, s, id, reported)
-		if err != nil {
-			l.cfg.Log.Event(logger.EventGroupUnreadable).Str("service", string(s.Name)).Str("group", string(id.Group)).
-				AnErr("error", err).Send()
-			continue
-		}
-		managed[id] = g
-		delete(l.lost, id)
-		l.cfg.Log.Event(logger.EventGroupFound).Str("service", string(s.Name)).Str("group", string(id.Group)).
-			Uint64("epoch", uint64(g.group.Epoch)).Int("ranks", len(g.group.Members)).Send()
-		l.cfg.OnGroupFound(id, addresses(g.group.Members), uint64(l.nextVersion()))
-		l.cfg.OnGroupState(id, true)
-	}
-}
-
-// isClosed reports whether the first of the upstreams that responds reports that the wanted group is closed, which one
-// call shows most often. Without a wanted group, it has to be that of most of them.
-func (l *Leader) isClosed(ctx context.Context, wanted identifier.GroupID, members []mapswitcher.Member) bool {
-	var report mapswitcher.Report
-	err := errors.New("no probe")
-	for probe := 0; err != nil && probe < min(maxProbes, len(members)); probe++ {
-		l.probes++
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		report, err = l.cfg.Engines.Report(callCtx, members[l.probes%len(members)])
-		cancel()
-	}
-	if err != nil || report.Open || report.Group == "" {
-		return false
-	}
-	if wanted.Group != "" && report.Group != wanted.Group || wanted.Group == "" && 2*report.Size <= len(members) {
-		return false
-	}
-	l.cfg.OnGroupState(identifier.GroupID{Service: wanted.Service, Group: report.Group}, false)
-	return true
-}
-
-// groupReports holds the reports of the ranks of one group, ordered by rank, and the members that sent them.
-type groupReports struct {
-	members []mapswitcher.Member
-	reports []mapswitcher.Report
-}
-
-func (g *groupReports) add(m mapswitcher.Member, r mapswitcher.Report) {
-	at, found := slices.BinarySearchFunc(g.reports, r, func(a, b mapswitcher.Report) int { return int(a.Rank - b.Rank) })
-	if found {
-		// A draining upstream and its successor may report the same rank; the newer epoch wins.
-		if r.Epoch >= g.reports[at].Epoch {
-			g.members[at], g.reports[at] = m, r
-		}
-		return
-	}
-	g.members = slices.Insert(g.members, at, m)
-	g.reports = slices.Insert(g.reports, at, r)
-}
-
-// complete reports whether the reports cover all ranks of a group that is open. If the group opened recently, reports
-// may still show it as closed or be of the previous epoch.
-func (g *groupReports) complete(recentlyOpened bool) bool {
-	if len(g.reports) == 0 || len(g.reports) != g.reports[0].Size {
-		return false
-	}
-	for i, r := range g.reports {
-		if int(r.Rank) != i {
-			return false
-		}
-		if !recentlyOpened && (!r.Open || r.Epoch != g.reports[0].Epoch) {
-			return false
-		}
-	}
-	return true
-}
-
-func (l *Leader) newManagedGroup(ctx context.Context, s cataloguer.Service, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
-	g := &managedGroup{
-		service: s,
-		group:   mapswitcher.Group{Name: id.Group, Members: reported.members},
-		estimator: estimator.New(estimator.Config{
-			Sets: s.Engine.Sets, Experts: s.Engine.Experts, Ranks: len(reported.members), Previous: l.estimators[id],
-		}),
-		switcher: mapswitcher.New(mapswitcher.Config{
-			Engines:  l.cfg.Engines,
-			Allowed:  l.Leading,
-			LoadTime: s.Engine.ExpertLoadTime,
-		}),
-	}
-	l.estimators[id] = g.estimator
-	epoch, err := l.readLayout(ctx, g)
-	if err != nil {
-		return nil, err
-	}
-	g.group.Epoch = epoch
-	for _, r := range reported.reports {
-		// Holds and armed maps end with their epoch.
-		g.unresolved = g.unresolved || r.Epoch == g.group.Epoch && (r.Held != nil || r.Armed != 0)
-	}
-	if g.unresolved {
-		return g, l.recoverGroup(ctx, g)
-	}
-	return g, nil
-}
-
 // readLayout reads the maps of the ranks into the layout of the group and returns their epoch. Unlike reports, the maps
 // are up to date.
 func (l *Leader) readLayout(ctx context.Context, g *managedGroup) (mapswitcher.Epoch, error) {
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -282,7 +282,7 @@
 		engine = &cataloguer.Engine{Sets: 1, Experts: 16, Places: 16, Spare: 1}
 	}
 	fleet := cataloguer.Fleet{
-		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{Name: "s", Engine: engine}}}),
+		Catalogue: cataloguer.New(cataloguer.Config{Services: []cataloguer.Service{{Name: "s", Engine: engine}, {Name: "t", Engine: engine}}}),
 		Upstreams: append([]cataloguer.Upstream{
 			{ID: "a", Service: "s", Address: "0", Version: 5}, {ID: "b", Service: "s", Address: "1", Version: 6},
 		}, others...),
@@ -492,8 +492,13 @@
 
 // newTwoGroupLeader returns a leader of two groups of two ranks.
 func newTwoGroupLeader(engines *fakeEngines) *mapleader.Leader {
+	return newTwoServiceLeader(engines, "s")
+}
+
+// newTwoServiceLeader returns a leader of two groups of two ranks, the second one of a given service.
+func newTwoServiceLeader(engines *fakeEngines, second identifier.Service) *mapleader.Leader {
 	return newLeader(newFixture(), engines,
-		cataloguer.Upstream{ID: "c", Service: "s", Address: "2", Version: 7}, cataloguer.Upstream{ID: "d", Service: "s", Address: "3", Version: 8})
+		cataloguer.Upstream{ID: "c", Service: second, Address: "2", Version: 7}, cataloguer.Upstream{ID: "d", Service: second, Address: "3", Version: 8})
 }
 
 // Guards against a group whose outage is reported as that of another one or not at all, whose end is noticed late, or which
@@ -540,20 +545,22 @@
 	})
 }
 
-// Guards against groups that wait for each other's switches when demand shifts for all.
+// Guards against groups, of one service or of two, that wait for each other's switches when demand shifts for all.
 func TestGroupsSwitchAtTheSameTime(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		engines := &fakeEngines{
-			held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true,
-			orderDelay: 50 * time.Millisecond, armedAt: map[string]time.Time{},
-		}
-		stop := startLeader(t, newTwoGroupLeader(engines))
-		time.Sleep(3 * time.Second)
-		stop()
-		require.Len(t, engines.armedAt, 4)
-		require.Less(t, engines.armedAt["0"].Sub(engines.armedAt["2"]).Abs(), 50*time.Millisecond)
-	})
+	for _, service := range []identifier.Service{"s", "t"} {
+		synctest.Test(t, func(t *testing.T) {
+			engines := &fakeEngines{
+				held: map[string]bool{}, armed: map[string]bool{}, twoGroups: true,
+				orderDelay: 50 * time.Millisecond, armedAt: map[string]time.Time{},
+			}
+			stop := startLeader(t, newTwoServiceLeader(engines, service))
+			time.Sleep(3 * time.Second)
+			stop()
+			require.Len(t, engines.armedAt, 4)
+			require.Less(t, engines.armedAt["0"].Sub(engines.armedAt["2"]).Abs(), 50*time.Millisecond, "service %s", service)
+		})
+	}
 }
 
 // Guards against a group that stays uneven for long because a rank may load few experts in one switch.
