Count ranks and running requests of a group once

Cause: since groups have their own state, each request counted the running requests and the usable ranks of each group over all upstreams. With 3,200 upstreams in 50 groups, the size to design for, that took 3.7 ms of processor time a request. Change: the running requests are counted when they start and end, the usable ranks when the fleet changes.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -179,6 +179,7 @@
 	}
 	a.assignGroups()
 	markSuperseded(a.upstreams)
+	a.countRanks()
 	a.limiter.Retain(now, func(id identifier.Upstream) bool { return a.upstreams[id] != nil })
 	a.dispatch(now)
 }
@@ -295,7 +296,10 @@
 	if !found {
 		return
 	}
-	u.running = max(u.running-1, 0)
+	if u.running > 0 {
+		u.running--
+		u.group.running--
+	}
 	switch r := feedback.(type) {
 	case Served:
 		a.openGroup(now, s, u.group, CauseProgress)
@@ -318,6 +322,7 @@
 	case Replaced:
 		u.replaced = true
 		markSuperseded(a.upstreams)
+		a.countRanks()
 	case Cancelled:
 	}
 	a.dispatch(now)
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -36,6 +36,9 @@
 // recover together.
 type group struct {
 	name identifier.ModelGroup
+	// running is the number of requests that this gateway runs on the ranks, and ranks that of the usable ranks.
+	running int
+	ranks   int
 	// lastProgress is when a request of this gateway last received data.
 	lastProgress time.Time
 	// closed is set while the group runs no requests.
@@ -63,7 +66,7 @@
 }
 
 // assignGroups sets the groups of all upstreams and removes groups without upstreams. Ranks that move to a new group, as
-// all do when the gateway learns the groups of a service, keep the state of their former one.
+// all do when the gateway learns the groups of a service, keep the state of their former one. countRanks has to follow.
 func (a *Admitter) assignGroups() {
 	used := map[*group]bool{}
 	for _, u := range a.upstreams {
@@ -81,6 +84,22 @@
 	}
 }
 
+// countRanks counts the ranks and the running requests of all groups. It is called when upstreams, their groups or whether
+// they are usable have changed.
+func (a *Admitter) countRanks() {
+	for _, s := range a.services {
+		for _, g := range s.groups {
+			g.running, g.ranks = 0, 0
+		}
+	}
+	for _, u := range a.upstreams {
+		u.group.running += u.running
+		if a.usable(u) {
+			u.group.ranks++
+		}
+	}
+}
+
 // findGroup returns the group with an id, or nil. Gateways learn at different times which groups a service has: a report
 // from before or after that concerns the only group.
 func (s *service) findGroup(id identifier.GroupID) *group {
@@ -110,22 +129,11 @@
 // stalled reports whether a group that runs at least minStalledRequests requests of this gateway has produced no data for
 // stallTimeout. The ranks of such a group wait for a rank that is gone, and reject new requests only once its loss is
 // certain.
-func (a *Admitter) stalled(now time.Time, s *service, g *group) bool {
+func stalled(now time.Time, s *service, g *group) bool {
 	if s.Engine == nil || now.Sub(g.lastProgress) < stallTimeout {
 		return false
 	}
-	return a.running(g) >= minStalledRequests
-}
-
-// running returns the number of requests that this gateway runs on the upstreams of a group.
-func (a *Admitter) running(g *group) int {
-	running := 0
-	for _, u := range a.upstreams {
-		if u.group == g {
-			running += u.running
-		}
-	}
-	return running
+	return g.running >= minStalledRequests
 }
 
 // GroupOpened records the report of a peer that a group is open again.
@@ -217,18 +225,13 @@
 	a.mu.Lock()
 	defer a.unlock()
 	out := map[identifier.GroupID]GroupStatus{}
-	for _, u := range a.upstreams {
-		if a.service(u.Service).Engine == nil {
+	for _, s := range a.services {
+		if s.Engine == nil {
 			continue
 		}
-		id := identifier.GroupID{Service: u.Service, Group: u.group.name}
-		status := out[id]
-		status.Open = !u.group.closed
-		status.Running += u.running
-		if a.usable(u) {
-			status.Ranks++
+		for _, g := range s.groups {
+			out[identifier.GroupID{Service: s.Name, Group: g.name}] = GroupStatus{Open: !g.closed, Ranks: g.ranks, Running: g.running}
 		}
-		out[id] = status
 	}
 	return out
 }
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -66,7 +66,7 @@
 func (a *Admitter) grant(now time.Time, s *service, t *Ticket) bool {
 	open := make(map[*group]bool, len(s.groups))
 	for _, g := range s.groups {
-		if !g.closed && a.stalled(now, s, g) {
+		if !g.closed && stalled(now, s, g) {
 			a.closeGroup(now, s, g, CauseStall)
 		}
 		open[g] = !g.closed && a.allowsStart(now, s, g, t)
@@ -87,11 +87,12 @@
 		return false
 	}
 	load := best.running + best.peerRunning
-	if a.running(best.group) == 0 {
+	if best.group.running == 0 {
 		// Without running requests there was no progress to observe; the stall timeout starts now.
 		best.group.lastProgress = now
 	}
 	best.running++
+	best.group.running++
 	isStart := s.Engine != nil && t.request.Stream
 	if isStart {
 		best.group.window.starting++
@@ -107,7 +108,7 @@
 	if s.Engine != nil && t.request.Stream && !g.window.allows(a.startShare(g)) {
 		return false
 	}
-	return g.allotment.allows(a.running(g), t.lateness(now) > 0)
+	return g.allotment.allows(g.running, t.lateness(now) > 0)
 }
 
 // chooseProbed returns the upstream of a closed group that the request is to probe, or nil. The group that was not probed
--- a/internal/request/admitter/window.go
+++ b/internal/request/admitter/window.go
@@ -60,11 +60,5 @@
 
 // startShare returns this gateway's share of the requests that may wait for their first byte when a group opens.
 func (a *Admitter) startShare(g *group) int {
-	ranks := 0
-	for _, u := range a.upstreams {
-		if u.group == g && a.usable(u) {
-			ranks++
-		}
-	}
-	return max(startsPerRank*ranks/a.gateways, minStarts)
+	return max(startsPerRank*g.ranks/a.gateways, minStarts)
 }
