--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -12,6 +12,8 @@
 package admitter
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -111,8 +113,10 @@
 	serial    uint64
 	evacuated map[identifier.FailureDomain]bool
 	upstreams map[identifier.Upstream]*upstream
-	services  map[identifier.Service]*service
-	limiter   *limiter.Limiter
+	// ordered holds the upstreams by id.
+	ordered  []*upstream
+	services map[identifier.Service]*service
+	limiter  *limiter.Limiter
 	// pendingNotifications are calls that unlock makes once the lock is released.
 	pendingNotifications []func()
 }
@@ -177,6 +181,7 @@
 			u.Draining = true
 		}
 	}
+	a.ordered = slices.SortedFunc(maps.Values(a.upstreams), func(x, y *upstream) int { return cmp.Compare(x.ID, y.ID) })
 	a.assignGroups()
 	markSuperseded(a.upstreams)
 	a.countRanks()
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -1,8 +1,6 @@
 package admitter
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,12 +18,11 @@
 		return u
 	}
 	var accepting []*upstream
-	for _, u := range a.upstreams {
+	for _, u := range a.ordered {
 		if u.Service == request.Service && groups[u.group] && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u, request) {
 			accepting = append(accepting, u)
 		}
 	}
-	slices.SortFunc(accepting, func(x, y *upstream) int { return cmp.Compare(x.ID, y.ID) })
 	samples := len(accepting)
 	if a.gateways > 1 {
 		samples = min(samples, sampledUpstreams)
