Forget the groups of a service that is no longer configured

Cause: the metrics of a group stayed at the leader after its service had left the configuration, and its state was dropped without the forgetting that the loss of the lead does. Found by reading. Change: both go the same way. Result: the tests of the package pass with the race detector; no test shows the metrics.

--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -323,7 +323,9 @@
 func (l *Leader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !l.Leading() {
-			l.abandon()
+			for _, st := range l.services {
+				l.abandon(st)
+			}
 			l.wait(ctx, groupRetryInterval)
 			continue
 		}
@@ -341,8 +343,12 @@
 // rebalanceServices rebalances the groups of all services at the same time and returns the time until the next call.
 func (l *Leader) rebalanceServices(ctx context.Context) time.Duration {
 	services := l.groupServices()
-	maps.DeleteFunc(l.services, func(name identifier.Service, _ *serviceState) bool {
-		return !slices.ContainsFunc(services, func(s cataloguer.Service) bool { return s.Name == name })
+	maps.DeleteFunc(l.services, func(name identifier.Service, st *serviceState) bool {
+		if slices.ContainsFunc(services, func(s cataloguer.Service) bool { return s.Name == name }) {
+			return false
+		}
+		l.abandon(st)
+		return true
 	})
 	waits := make([]time.Duration, len(services))
 	var wg sync.WaitGroup
@@ -369,15 +375,13 @@
 	return false
 }
 
-// abandon forgets the groups, since another gateway may lead them now.
-func (l *Leader) abandon() {
-	for _, st := range l.services {
-		for id := range st.managed {
-			l.forget(id)
-		}
-		clear(st.managed)
-		clear(st.lost)
+// abandon forgets the groups of a service that this gateway no longer leads.
+func (l *Leader) abandon(st *serviceState) {
+	for id := range st.managed {
+		l.forget(id)
 	}
+	clear(st.managed)
+	clear(st.lost)
 }
 
 // managedGroup is the state that the leader keeps for one epoch of a group.
