Log the era of the store, lost history and ignored rows

No line told whether a change after the store's return had not arrived or had been ignored. Events 734 (a response names a new era), 735 (410 for changes) and 736 (rows older than the copy) tell these apart; no decision changes.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -459,11 +459,16 @@
 func (g *gateway) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	era := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if previous := era; g.store.Era() != previous {
+				era = g.store.Era()
+				g.logEra(previous, era)
+			}
 			// This also evaluates the waiting requests.
 			g.countPeers(now)
 			g.replicator.ApplyDeferred(now)
@@ -472,6 +477,13 @@
 	}
 }
 
+// logEra logs a new era of the platform's store, unless it is the first that this gateway knows.
+func (g *gateway) logEra(previous, era uint64) {
+	if previous != 0 {
+		g.log.Event(logger.EventStoreRestored).Uint64("era", era).Uint64("previousEra", previous).Send()
+	}
+}
+
 // pull starts pulling the rows of each table of which a peer has a higher version.
 func (g *gateway) pull(ctx context.Context, now time.Time) {
 	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable, grouper.Table} {
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -74,6 +74,9 @@
 	EventSettingsReloaded     Event = 731
 	EventSeedInvalid          Event = 732
 	EventGroupFound           Event = 733
+	EventStoreRestored        Event = 734
+	EventHistoryLost          Event = 735
+	EventRowsIgnored          Event = 736
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -141,6 +144,9 @@
 	EventCrashReported:        {zerolog.InfoLevel, "crash of an upstream learned from a peer"},
 	EventUpstreamRateChanged:  {zerolog.InfoLevel, "rate limit of an upstream changed"},
 	EventGroupFound:           {zerolog.InfoLevel, "model group found"},
+	EventStoreRestored:        {zerolog.WarnLevel, "platform store restored from a copy"},
+	EventHistoryLost:          {zerolog.InfoLevel, "history of a table lost"},
+	EventRowsIgnored:          {zerolog.InfoLevel, "rows of the platform store ignored"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -150,7 +150,7 @@
 			return err
 		}
 		f.recordSuccess(started)
-		f.cfg.Replicator.Replace(time.Now(), f.cfg.Table, rows, version, f.cfg.DeferDeletions)
+		f.logIgnored(f.cfg.Replicator.Replace(time.Now(), f.cfg.Table, rows, version, f.cfg.DeferDeletions))
 		f.needsFullRead, f.version = false, version
 		return nil
 	}
@@ -159,11 +159,22 @@
 		return err
 	}
 	f.recordSuccess(started)
-	f.cfg.Replicator.Merge(time.Now(), f.cfg.Table, rows, f.cfg.DeferDeletions)
+	f.logIgnored(f.cfg.Replicator.Merge(time.Now(), f.cfg.Table, rows, f.cfg.DeferDeletions))
 	f.version = version
 	return nil
 }
 
+// logIgnored logs the number of rows that the replicator ignored, and the last of them.
+func (f *Follower) logIgnored(rows []replicator.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	last := rows[len(rows)-1]
+	f.cfg.Log.Event(logger.EventRowsIgnored).Str("table", string(f.cfg.Table)).Str("key", last.Key).
+		Uint64("version", last.Version).Uint64("copyVersion", f.cfg.Replicator.Version(f.cfg.Table)).
+		Int("rows", len(rows)).Send()
+}
+
 // recordSuccess updates the state after the response to a call. It notifies the replicator if an outage of the platform
 // has ended.
 func (f *Follower) recordSuccess(started time.Time) {
@@ -188,6 +199,8 @@
 // that the backoff cannot overflow.
 func (f *Follower) recordFailure(err error) time.Duration {
 	if errors.Is(err, replicator.ErrHistoryLost) {
+		f.cfg.Log.Event(logger.EventHistoryLost).Str("table", string(f.cfg.Table)).Uint64("version", f.version).
+			AnErr("error", err).Send()
 		f.needsFullRead = true
 		return minBackoff
 	}
--- a/internal/version/replicator/replicator.go
+++ b/internal/version/replicator/replicator.go
@@ -85,8 +85,9 @@
 }
 
 // Merge adds the rows that are newer than those of the copy. With deferDeletions, which is meant for tables whose
-// rows can expire during an outage, deletions during the grace period take effect only after its end.
-func (r *Replicator) Merge(now time.Time, t Table, rows []Row, deferDeletions bool) {
+// rows can expire during an outage, deletions during the grace period take effect only after its end. Merge returns the
+// rows that it ignored because those of the copy have a higher version.
+func (r *Replicator) Merge(now time.Time, t Table, rows []Row, deferDeletions bool) (ignored []Row) {
 	r.mu.Lock()
 	c := r.table(t)
 	changed := false
@@ -94,6 +95,9 @@
 		c.version = max(c.version, row.Version)
 		known, found := c.rows[row.Key]
 		if found && known.Version >= row.Version {
+			if known.Version > row.Version {
+				ignored = append(ignored, row)
+			}
 			continue
 		}
 		if deferDeletions && row.Deleted && now.Before(r.graceUntil) {
@@ -117,6 +121,7 @@
 	if changed {
 		r.onChange(t)
 	}
+	return ignored
 }
 
 // deferDeletion keeps a deletion until ApplyDeferred. It is called with the lock held.
@@ -130,8 +135,8 @@
 }
 
 // Replace merges a full read of a table at a version. Rows of the copy that the read lacks are deleted unless they are
-// newer than the version.
-func (r *Replicator) Replace(now time.Time, t Table, rows []Row, version uint64, deferDeletions bool) {
+// newer than the version. Replace returns the rows that it ignored because those of the copy have a higher version.
+func (r *Replicator) Replace(now time.Time, t Table, rows []Row, version uint64, deferDeletions bool) (ignored []Row) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -143,7 +148,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.Merge(now, t, rows, deferDeletions)
+	return r.Merge(now, t, rows, deferDeletions)
 }
 
 // ApplyDeferred applies the deferred deletions once the grace period has ended. It has to be called periodically.
