--- a/internal/standin/storeserver/storeserver.go
+++ b/internal/standin/storeserver/storeserver.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -38,7 +39,9 @@
 	lastVersion uint64
 	// compactedVersion is the version before which Compact has discarded the history.
 	compactedVersion uint64
-	down             atomic.Bool
+	// era counts the restorations, from 1 on.
+	era  uint64
+	down atomic.Bool
 	// loseResponses makes the store close the connection of every second write without a response.
 	loseResponses atomic.Bool
 	// writes counts the transactions that took effect.
@@ -47,7 +50,30 @@
 
 // New returns an empty store.
 func New() *Server {
-	return &Server{rows: map[string]row{}}
+	return &Server{rows: map[string]row{}, era: 1}
+}
+
+// Copy is the content of a store at a moment.
+type Copy struct {
+	rows        map[string]row
+	lastVersion uint64
+}
+
+// Copy returns a copy of the current content.
+func (s *Server) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), lastVersion: s.lastVersion}
+}
+
+// Restore replaces the content by a copy. The writes since then are lost, and their versions are given out again in a new
+// era.
+func (s *Server) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.lastVersion = maps.Clone(c.rows), c.lastVersion
+	s.compactedVersion = min(s.compactedVersion, s.lastVersion)
+	s.era++
 }
 
 // SetDown starts or ends an outage, in which the store refuses all calls with status 503.
@@ -124,6 +150,9 @@
 
 // ServeHTTP serves the calls of the store's protocol.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	s.mu.Unlock()
 	if s.down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -156,9 +185,9 @@
 // feed writes the rows of a table that changed after a version. It waits up to the given time for the first change.
 func (s *Server) feed(w http.ResponseWriter, r *http.Request, table string, afterVersion uint64, wait time.Duration) {
 	s.mu.Lock()
-	compacted := afterVersion < s.compactedVersion
+	lost := afterVersion < s.compactedVersion || afterVersion > s.lastVersion
 	s.mu.Unlock()
-	if compacted {
+	if lost {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
