--- a/internal/version/follower/restored_test.go
+++ b/internal/version/follower/restored_test.go
@@ -149,17 +149,15 @@
 func TestChangesTakeEffectAfterStoreWasRestored(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(60) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { playRestorations(t, rand.New(rand.NewPCG(seed, 0))) })
-		})
+		synctest.Test(t, func(t *testing.T) { playRestorations(t, seed) })
 	}
 }
 
 // playRestorations restores the store once or twice, with a random age of the copy, rate of other writes, and time until
 // the next change. A gateway may be cut off from the store meanwhile.
-func playRestorations(t *testing.T, random *rand.Rand) {
+func playRestorations(t *testing.T, seed uint64) {
 	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 0))
 	h := startHolders(t, 2, 1)
 	defer h.stop()
 	between := func(low, high int) time.Duration {
@@ -172,7 +170,7 @@
 		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			for i, holder := range h.all {
 				now := holder.configVersion()
-				require.GreaterOrEqual(t, now, inForce[i], "gateway %d", i)
+				require.GreaterOrEqual(t, now, inForce[i], "seed %d, gateway %d", seed, i)
 				inForce[i] = now
 			}
 		}
@@ -201,7 +199,7 @@
 			h.configure(version)
 			check(applyTime)
 			for i := range h.all {
-				require.Equal(t, version, inForce[i], "gateway %d", i)
+				require.Equal(t, version, inForce[i], "seed %d, gateway %d", seed, i)
 			}
 		}
 	}
