Order rows by the era of the store, then by its counter

Callers got 404, or the service of an earlier configuration, for seconds after the store had come back from a copy. Class: trust in versions that only rise, and in acknowledged writes that stay.

The store's client now forms a version from era and counter, so versions rise again by construction; a call for changes of another era is answered like lost history. A full read follows the first row of a new era from a peer. What the restored copy does not know any more is retained for 30 s by the contents' own order: a newer configuration, an upstream that drains, started again or is gone; lost rows stay for the grace period, also without an outage. An era that the store itself does not confirm is removed, so that no peer can shut out its rows; peers' rows of it are then ignored for 2 s.

In TestFullReadRemovesMissingRows the tombstone now also names the row that it replaced.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -42,6 +42,8 @@
 	Value   []byte `cbor:"value"`
 	Version uint64 `cbor:"version"`
 	Deleted bool   `cbor:"deleted,omitempty"`
+	// Replaced is set in deletions only.
+	Replaced uint64 `cbor:"replaced,omitempty"`
 }
 
 // Handler serves the rows of a replicator to Pull, those with the lowest versions first.
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -95,6 +95,10 @@
 	fleet     atomic.Pointer[cataloguer.Fleet]
 	// stopping is closed when the graceful stop begins.
 	stopping chan struct{}
+	// era is the last known era of the store; only tick uses it.
+	era replicator.Era
+	// retainedRows holds the number of retained rows of each table that was last logged; only applyTables uses it.
+	retainedRows map[replicator.Table]int
 	// ready is the result of the last readiness check.
 	ready atomic.Bool
 	// tablesChanged wakes applyTables; it is buffered, so that changes in quick succession are applied together.
@@ -140,6 +144,7 @@
 		tablesChanged: make(chan struct{}, 1),
 		crashObserved: make(chan struct{}, 1),
 		lastPull:      map[replicator.Table]time.Time{},
+		retainedRows:  map[replicator.Table]int{},
 	}
 	g.log = logger.New(logger.Config{
 		Output:        output,
@@ -149,7 +154,10 @@
 		Decisions:     maxDecisions,
 	})
 	g.fleet.Store(&cataloguer.Fleet{})
-	g.replicator = replicator.New(replicator.Config{OnChange: func(replicator.Table) { g.notifyTablesChanged() }})
+	g.replicator = replicator.New(replicator.Config{
+		OnChange:   func(replicator.Table) { g.notifyTablesChanged() },
+		Precedence: platform.RowPrecedence,
+	})
 	g.admitter = admitter.New(admitter.Config{
 		FailureDomain: settings.FailureDomain,
 		ColdFactor:    settings.Bounds.ColdFactor,
@@ -426,6 +434,7 @@
 
 // applyTables decodes the tables after each change and applies them until the context ends.
 func (g *gateway) applyTables(ctx context.Context) error {
+	disprovals := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -433,6 +442,9 @@
 		case <-g.tablesChanged:
 		}
 		previous := g.fleet.Load()
+		if n := g.replicator.Disprovals(); n != disprovals {
+			disprovals, previous = n, &cataloguer.Fleet{}
+		}
 		fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
 			g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
 		problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
@@ -450,8 +462,9 @@
 		g.gossiper.Broadcast()
 		g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
 			Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
-			Uint64("operatorRows", g.replicator.Version(platform.OperatorTable)).
-			Uint64("upstreamRows", g.replicator.Version(platform.UpstreamTable)).Send()
+			Str("operatorRows", replicator.VersionText(g.replicator.Version(platform.OperatorTable))).
+			Str("upstreamRows", replicator.VersionText(g.replicator.Version(platform.UpstreamTable))).Send()
+		g.logRetained()
 	}
 }
 
@@ -459,16 +472,12 @@
 func (g *gateway) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	era := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if previous := era; g.store.Era() != previous {
-				era = g.store.Era()
-				g.logEra(previous, era)
-			}
+			g.observeEra()
 			// This also evaluates the waiting requests.
 			g.countPeers(now)
 			g.replicator.ApplyDeferred(now)
@@ -477,13 +486,6 @@
 	}
 }
 
-// logEra logs a new era of the platform's store, unless it is the first that this gateway knows.
-func (g *gateway) logEra(previous, era uint64) {
-	if previous != 0 {
-		g.log.Event(logger.EventStoreRestored).Uint64("era", era).Uint64("previousEra", previous).Send()
-	}
-}
-
 // pull starts pulling the rows of each table of which a peer has a higher version.
 func (g *gateway) pull(ctx context.Context, now time.Time) {
 	for _, t := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable, grouper.Table} {
@@ -534,7 +536,7 @@
 		g.log.Event(logger.EventConfigPullFailed).Str("peer", source).AnErr("error", err).Send()
 		return
 	}
-	g.replicator.Merge(time.Now(), t, rows, t == platform.UpstreamTable)
+	g.replicator.MergeFromPeer(time.Now(), t, rows, t == platform.UpstreamTable)
 }
 
 // maintainNodeRow writes the gateway's row in the node table and adds the gateways of the other rows as possible peers,
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -77,6 +77,8 @@
 	EventStoreRestored        Event = 734
 	EventHistoryLost          Event = 735
 	EventRowsIgnored          Event = 736
+	EventEraDisproven         Event = 737
+	EventRowsRetained         Event = 738
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -147,6 +149,8 @@
 	EventStoreRestored:        {zerolog.WarnLevel, "platform store restored from a copy"},
 	EventHistoryLost:          {zerolog.InfoLevel, "history of a table lost"},
 	EventRowsIgnored:          {zerolog.InfoLevel, "rows of the platform store ignored"},
+	EventEraDisproven:         {zerolog.WarnLevel, "rows of a false era removed"},
+	EventRowsRetained:         {zerolog.InfoLevel, "rows retained from before the restoration"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -73,6 +73,8 @@
 	version uint64
 	// needsFullRead is set if the next call has to read the full table.
 	needsFullRead bool
+	// readEra is the highest era of a full read.
+	readEra replicator.Era
 	// failing is set after a failed call until a call succeeds or, while another process follows, the failure expires.
 	failing atomic.Bool
 	// lastResponse is when the store last responded; nil before the first response.
@@ -102,6 +104,11 @@
 // Run follows the table until the context ends. The full read takes place whatever ShouldFollow reports.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		// The first row of a new era that a peer sends is followed by a full read: the peer may not know of all rows that the
+		// store has lost, and the era may be false.
+		if replicator.EraOf(f.cfg.Replicator.Version(f.cfg.Table)) > f.readEra {
+			f.needsFullRead = true
+		}
 		if !f.needsFullRead && !f.cfg.ShouldFollow() {
 			f.idle(ctx)
 			continue
@@ -145,11 +152,19 @@
 func (f *Follower) poll(ctx context.Context) error {
 	started := time.Now()
 	if f.needsFullRead {
+		known := f.cfg.Replicator.Version(f.cfg.Table)
 		rows, version, err := f.cfg.Store.Read(ctx, f.cfg.Table)
 		if err != nil {
 			return err
 		}
 		f.recordSuccess(started)
+		era := replicator.EraOf(version)
+		if era < replicator.EraOf(known) {
+			f.cfg.Log.Event(logger.EventEraDisproven).Str("table", string(f.cfg.Table)).Uint64("era", uint64(era)).
+				Uint64("copyEra", uint64(replicator.EraOf(known))).Send()
+			f.cfg.Replicator.Disprove(time.Now(), f.cfg.Table, era)
+		}
+		f.readEra = max(f.readEra, era)
 		f.logIgnored(f.cfg.Replicator.Replace(time.Now(), f.cfg.Table, rows, version, f.cfg.DeferDeletions))
 		f.needsFullRead, f.version = false, version
 		return nil
@@ -171,7 +186,8 @@
 	}
 	last := rows[len(rows)-1]
 	f.cfg.Log.Event(logger.EventRowsIgnored).Str("table", string(f.cfg.Table)).Str("key", last.Key).
-		Uint64("version", last.Version).Uint64("copyVersion", f.cfg.Replicator.Version(f.cfg.Table)).
+		Str("version", replicator.VersionText(last.Version)).
+		Str("copyVersion", replicator.VersionText(f.cfg.Replicator.Version(f.cfg.Table))).
 		Int("rows", len(rows)).Send()
 }
 
@@ -192,15 +208,15 @@
 		f.cfg.Replicator.PlatformRecovered(now)
 	}
 	f.cfg.Log.Event(logger.EventStoreAvailable).Str("table", string(f.cfg.Table)).Dur("awayMs", outage).
-		Bool("lostAlone", lostAlone).Uint64("version", f.version).Send()
+		Bool("lostAlone", lostAlone).Str("version", replicator.VersionText(f.version)).Send()
 }
 
 // recordFailure updates the state after a failed call and returns the time before the next one. The shift is capped, so
 // that the backoff cannot overflow.
 func (f *Follower) recordFailure(err error) time.Duration {
 	if errors.Is(err, replicator.ErrHistoryLost) {
-		f.cfg.Log.Event(logger.EventHistoryLost).Str("table", string(f.cfg.Table)).Uint64("version", f.version).
-			AnErr("error", err).Send()
+		f.cfg.Log.Event(logger.EventHistoryLost).Str("table", string(f.cfg.Table)).
+			Str("version", replicator.VersionText(f.version)).AnErr("error", err).Send()
 		f.needsFullRead = true
 		return minBackoff
 	}
@@ -212,7 +228,7 @@
 	}
 	if f.failing.CompareAndSwap(false, true) {
 		f.cfg.Log.Event(logger.EventStoreUnavailable).Str("table", string(f.cfg.Table)).AnErr("error", err).
-			Uint64("version", f.version).Send()
+			Str("version", replicator.VersionText(f.version)).Send()
 		f.cfg.OnStoreLost()
 	}
 	return min(minBackoff<<min(f.failures, 8), maxBackoff)
--- a/internal/version/follower/restored_test.go
+++ b/internal/version/follower/restored_test.go
@@ -62,10 +62,14 @@
 	replicator *replicator.Replicator
 	transport  *direct
 	catalogue  *cataloguer.Catalogue
+	disprovals int
 }
 
 // fleet decodes the copies as a gateway does.
 func (h *copyHolder) fleet() cataloguer.Fleet {
+	if n := h.replicator.Disprovals(); n != h.disprovals {
+		h.catalogue, h.disprovals = nil, n
+	}
 	fleet, _ := platform.DecodeFleet(h.replicator.Rows(platform.OperatorTable), h.replicator.Rows(platform.UpstreamTable), h.catalogue)
 	h.catalogue = fleet.Catalogue
 	return fleet
@@ -98,7 +102,7 @@
 }
 
 func (h *holders) start(ctx context.Context, follows bool) {
-	holder := &copyHolder{replicator: replicator.New(replicator.Config{}), transport: &direct{handler: h.store}}
+	holder := &copyHolder{replicator: replicator.New(replicator.Config{Precedence: platform.RowPrecedence}), transport: &direct{handler: h.store}}
 	h.all = append(h.all, holder)
 	store := platform.NewStoreWithTransport("store", holder.transport)
 	for _, table := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable} {
@@ -124,7 +128,7 @@
 	for _, table := range []replicator.Table{platform.OperatorTable, platform.UpstreamTable} {
 		own := h.replicator.Version(table)
 		if from.replicator.Version(table) > own {
-			h.replicator.Merge(time.Now(), table, from.replicator.After(table, own), table == platform.UpstreamTable)
+			h.replicator.MergeFromPeer(time.Now(), table, from.replicator.After(table, own), table == platform.UpstreamTable)
 		}
 	}
 }
@@ -204,3 +208,40 @@
 		}
 	}
 }
+
+// Guards against a peer that shuts out the store's rows by an era which the store does not have, and against one that keeps
+// a true era from being taken by doing so.
+func TestFalseEraOfPeerIsRemoved(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		h := startHolders(t, 1, 1)
+		defer h.stop()
+		h.configure(3)
+		time.Sleep(time.Second)
+		follows, pulls := h.all[0], h.all[1]
+		poison := func(era replicator.Era) {
+			row := replicator.Row{Key: "config", Value: []byte(`{"version":99}`), Version: replicator.NewVersion(era, 5)}
+			for _, holder := range h.all {
+				holder.replicator.MergeFromPeer(time.Now(), platform.OperatorTable, []replicator.Row{row}, false)
+			}
+		}
+		poison(7)
+		require.Equal(t, 99, pulls.configVersion())
+		time.Sleep(time.Second)
+		require.Equal(t, 3, follows.configVersion())
+		require.Equal(t, 3, pulls.configVersion())
+		for range 40 {
+			poison(7)
+			time.Sleep(100 * time.Millisecond)
+		}
+		h.store.Restore(h.store.Copy())
+		h.configure(4)
+		for range 20 {
+			poison(7)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 4, follows.configVersion())
+		require.Equal(t, 4, pulls.configVersion())
+	})
+}
--- a/internal/version/replicator/replicator_test.go
+++ b/internal/version/replicator/replicator_test.go
@@ -69,5 +69,7 @@
 	r.Merge(now, table, []replicator.Row{liveRow("a", 1), liveRow("b", 2), liveRow("newer", 9)}, false)
 	r.Replace(now, table, []replicator.Row{liveRow("a", 1)}, 5, false)
 	require.Equal(t, []replicator.Row{liveRow("a", 1), liveRow("newer", 9)}, r.Rows(table))
-	require.Equal(t, []replicator.Row{tombstone("b", 5), liveRow("newer", 9)}, r.After(table, 2))
+	removed := tombstone("b", 5)
+	removed.Replaced = 2
+	require.Equal(t, []replicator.Row{removed, liveRow("newer", 9)}, r.After(table, 2))
 }
