Keep the lease of the expert maps when the store is restored

A group could be without a leader for a term of 4.3 s after the store had come back from a copy, and the next leader's fence, the row's version, could be lower than the last one: ranks reject maps of versions that they have had, so no map is switched. Cause: the leader took the restored row of an earlier holder for a new holder, and counted on versions that only rise.

The row now names the era in which it was written. A holder within its term whose row was restored, or is gone, writes it again; a row that was acquired in the new era counts. The fence grows with the era by more than the versions that a restoration can lose.

--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -22,6 +22,9 @@
 	// drift between clocks that run at about the same rate.
 	takeoverMargin = 300 * time.Millisecond
 	renewInterval  = time.Second
+	// fencesPerEra is more than the versions that the store may lose at once, so that the first fence after a restoration is
+	// higher than the last one before.
+	fencesPerEra = 1 << 24
 	// resignAfter is the time since the last renewal after which a lease is resigned. It leaves time for one failed
 	// renewal and one retry.
 	resignAfter = 2500 * time.Millisecond
@@ -84,6 +87,14 @@
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
 	Released    bool   `json:"released,omitempty"`
+	// Era is the era of the version that the write expected.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// isRestored reports whether the row was written before the store was restored. Its holder at that time may have lost the
+// lease since then.
+func (w wireLease) isRestored(row replicator.Row) bool {
+	return replicator.CounterOf(row.Version) == 0 || w.Era < uint64(replicator.EraOf(row.Version))
 }
 
 // Held reports whether this process holds the lease and may issue orders.
@@ -98,7 +109,7 @@
 func (l *Lease) Fence() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version
+	return uint64(replicator.EraOf(l.version))*fencesPerEra + replicator.CounterOf(l.version)
 }
 
 // Renew renews the lease if a renewal is due, and reports whether this process still holds it. A conflict with another
@@ -159,7 +170,7 @@
 // it, belongs to this node or is dead, or its term has ended since this process first read it. isFree records the time of
 // this first read.
 func (l *Lease) isFree(row replicator.Row) bool {
-	if row.Version == 0 || l.cfg.Resigned(row.Version) {
+	if replicator.CounterOf(row.Version) == 0 || l.cfg.Resigned(row.Version) {
 		return true
 	}
 	var w wireLease
@@ -188,13 +199,14 @@
 	if version == 0 {
 		return nil
 	}
-	_, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(true), version)
+	_, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(version, true), version)
 	return err
 }
 
-func (l *Lease) rowValue(released bool) []byte {
+func (l *Lease) rowValue(expected uint64, released bool) []byte {
 	raw, err := json.Marshal(wireLease{
 		Node: string(l.cfg.Node), Incarnation: uint64(l.cfg.Incarnation), Released: released,
+		Era: uint64(replicator.EraOf(expected)),
 	})
 	if err != nil {
 		return nil
@@ -205,7 +217,7 @@
 // write writes the row if it still has the expected version, and reports whether this process holds the lease.
 func (l *Lease) write(ctx context.Context, expected uint64, released bool) (bool, error) {
 	started := l.cfg.Now()
-	version, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(released), expected)
+	version, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(expected, released), expected)
 	if errors.Is(err, replicator.ErrConflict) {
 		return l.resolveConflict(ctx, started)
 	}
@@ -217,7 +229,8 @@
 }
 
 // resolveConflict reads the row after a conflict and reports whether this process holds the lease: the conflict may
-// come from an earlier write of this process whose response was lost.
+// come from an earlier write of this process whose response was lost, or from a restoration of the store. The holder at the
+// time of a restoration keeps the lease.
 func (l *Lease) resolveConflict(ctx context.Context, started time.Duration) (bool, error) {
 	row, err := l.cfg.Store.ReadRow(ctx, leaseTable, leaseKey)
 	if err != nil {
@@ -229,6 +242,9 @@
 		l.update(row.Version, started)
 		return true, nil
 	}
+	if l.Held() && w.isRestored(row) {
+		return l.write(ctx, row.Version, false)
+	}
 	l.update(0, 0)
 	return false, errors.Wrap(err, "decode the lease")
 }
--- a/internal/version/mapleader/lease_test.go
+++ b/internal/version/mapleader/lease_test.go
@@ -19,8 +19,9 @@
 type store struct {
 	mu  sync.Mutex
 	row replicator.Row
-	// lastVersion is the version of the last write. Versions are not consecutive.
+	// lastVersion is the counter of the last write. Counters are not consecutive.
 	lastVersion uint64
+	era         replicator.Era
 	// reads counts the reads of the row.
 	reads int
 	// refused holds the nodes whose calls fail, and refusedAt is when the first of these writes took place.
@@ -56,6 +57,9 @@
 	if s.refused[s.node] {
 		return replicator.Row{}, replicator.ErrRefused
 	}
+	if s.row.Version == 0 {
+		return replicator.Row{Version: replicator.NewVersion(s.era, 0)}, nil
+	}
 	return s.row, nil
 }
 
@@ -76,15 +80,15 @@
 		}
 		return 0, replicator.ErrRefused
 	}
-	if s.row.Version != expected {
+	if s.row.Version != expected && (s.row.Version != 0 || replicator.CounterOf(expected) != 0) {
 		return 0, replicator.ErrConflict
 	}
 	s.lastVersion += 7
-	s.row = replicator.Row{Key: key, Value: value, Version: s.lastVersion}
+	s.row = replicator.Row{Key: key, Value: value, Version: replicator.NewVersion(s.era, s.lastVersion)}
 	if s.loseResponses {
 		return 0, errResponseLost
 	}
-	return s.lastVersion, nil
+	return s.row.Version, nil
 }
 
 // fixture holds the leases of two nodes on one row and their clock.
@@ -323,3 +327,96 @@
 		running.Wait()
 	})
 }
+
+// restore returns the store to a row of before, in a new era.
+func (s *store) restore(row replicator.Row, counter uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.lastVersion = counter
+	s.row = replicator.Row{}
+	if row.Version != 0 {
+		s.row = replicator.Row{Key: row.Key, Value: row.Value, Version: replicator.NewVersion(s.era, replicator.CounterOf(row.Version))}
+	}
+}
+
+// Guards against a group that has no leader for a term because the store has forgotten who holds the lease, and against
+// fences that fall, so that ranks reject the maps of the next leader.
+func TestHolderKeepsTheLeaseWhenTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	for name, played := range map[string]func(*testing.T, *fixture) replicator.Row{
+		"row of the holder": func(t *testing.T, f *fixture) replicator.Row {
+			t.Helper()
+			require.True(t, acquire(t, f.a))
+			return f.store.row
+		},
+		"row of an earlier holder": func(t *testing.T, f *fixture) replicator.Row {
+			t.Helper()
+			require.True(t, acquire(t, f.b))
+			row := f.store.row
+			require.NoError(t, f.b.Release(t.Context()))
+			require.True(t, acquire(t, f.a))
+			return row
+		},
+		"released row": func(t *testing.T, f *fixture) replicator.Row {
+			t.Helper()
+			require.True(t, acquire(t, f.b))
+			require.NoError(t, f.b.Release(t.Context()))
+			row := f.store.row
+			require.True(t, acquire(t, f.a))
+			return row
+		},
+		"no row": func(t *testing.T, f *fixture) replicator.Row {
+			t.Helper()
+			require.True(t, acquire(t, f.a))
+			return replicator.Row{}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture()
+			f.store.era = 1
+			row := played(t, f)
+			counter := f.store.lastVersion
+			renew := func() bool {
+				f.now += time.Second
+				held, err := f.a.Renew(t.Context())
+				require.NoError(t, err)
+				return held
+			}
+			for range 9 {
+				require.True(t, renew())
+			}
+			fence := f.a.Fence()
+			f.store.restore(row, counter)
+			require.True(t, renew())
+			require.True(t, renew())
+			require.False(t, acquire(t, f.b))
+			require.NoError(t, f.a.Release(t.Context()))
+			require.True(t, acquire(t, f.b))
+			require.Greater(t, f.b.Fence(), fence)
+		})
+	}
+}
+
+// Guards against two holders after the holder was cut off while the store was restored and another process acquired the
+// lease.
+func TestLeaseAcquiredSinceTheRestorationCounts(t *testing.T) {
+	t.Parallel()
+	f := newFixture()
+	f.store.era = 1
+	require.True(t, acquire(t, f.a))
+	row, counter := f.store.row, f.store.lastVersion
+	f.now += time.Second
+	held, err := f.a.Renew(t.Context())
+	require.NoError(t, err)
+	require.True(t, held)
+	f.store.restore(row, counter)
+	f.dead = true
+	require.True(t, acquire(t, f.b))
+	f.now += time.Second
+	held, err = f.a.Renew(t.Context())
+	require.NoError(t, err)
+	require.False(t, held)
+	require.True(t, f.b.Held())
+}
