Keep the cold time of an upstream whose row was restored

After a restoration every row has a version of the new era, so the admitter restarted the cold time that each row names: warm upstreams were limited to their cold rate again. A restored row from before an upstream became cold ended its cold time, and it was flooded. A row with the same counter now changes nothing, and one of another era only extends the cold time until the upstream writes its row again. The new test failed before: 50 of 50 requests went to a cold upstream where fewer than 10 may (its second part was not reached then).

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -22,6 +22,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/limiter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
+	"currantledge.example/currantledge/internal/version/replicator"
 )
 
 const (
@@ -190,15 +191,19 @@
 }
 
 // updateUpstream applies an entry of the platform's list. A new version of the entry restarts the cold time of its
-// upstream, ends its backoff and clears its replaced mark.
+// upstream, ends its backoff and clears its replaced mark. An entry that was restored from a copy may be older than the
+// known one, so it does not end the cold time.
 func (a *Admitter) updateUpstream(now time.Time, u cataloguer.Upstream) {
 	known, found := a.upstreams[u.ID]
 	if !found {
 		known = &upstream{}
 		a.upstreams[u.ID] = known
 	}
-	if !found || known.Version != u.Version {
-		known.coldUntil = now.Add(u.ColdLeft)
+	if !found || replicator.CounterOf(known.Version) != replicator.CounterOf(u.Version) {
+		coldUntil := now.Add(u.ColdLeft)
+		if replicator.EraOf(known.Version) == replicator.EraOf(u.Version) || coldUntil.After(known.coldUntil) {
+			known.coldUntil = coldUntil
+		}
 		known.backoffUntil, known.backoff, known.replaced = time.Time{}, 0, false
 	}
 	known.Upstream = u
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -12,6 +12,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/version/cataloguer"
+	"currantledge.example/currantledge/internal/version/replicator"
 )
 
 const (
@@ -140,6 +141,38 @@
 	require.Positive(t, count)
 }
 
+// Guards against a cold upstream that is flooded, or a warm one that is limited again, because its entry was restored from
+// a copy of before.
+func TestRestoredEntryDoesNotChangeTheColdTime(t *testing.T) {
+	t.Parallel()
+	entry := func(era replicator.Era, counter uint64, coldLeft time.Duration) cataloguer.Upstream {
+		u := upstream("x", model, 1000)
+		u.Version, u.ColdLeft = replicator.NewVersion(era, counter), coldLeft
+		return u
+	}
+	granted := func(f *fixture, now time.Time) int {
+		n := 0
+		for range 50 {
+			if _, ok := decision(f.Submit(now, request(model, now))).(admitter.Granted); ok {
+				n++
+			}
+		}
+		return n
+	}
+	apply := func(f *fixture, now time.Time, u cataloguer.Upstream) {
+		f.fleet.Upstreams = []cataloguer.Upstream{u}
+		f.SetFleet(now, f.fleet)
+	}
+	cold := newFixture(entry(1, 40, 0))
+	apply(cold, start, entry(1, 60, time.Minute))
+	apply(cold, start.Add(time.Second), entry(2, 40, 0))
+	require.Less(t, granted(cold, start.Add(time.Second)), 10)
+
+	warm := newFixture(entry(1, 40, time.Second))
+	apply(warm, start.Add(2*time.Second), entry(2, 40, time.Second))
+	require.Equal(t, 50, granted(warm, start.Add(2*time.Second)))
+}
+
 // Load: all slots are in use and more requests arrive than can be on time. Guards against a queue order in which late
 // requests make every new one late as well.
 func TestRequestsThatCanBeOnTimeGoFirst(t *testing.T) {
