Write the gateways' rows again after the store was restored

The rows that gateways write, their addresses and the crashes that they have observed, were lost with a restoration until the next restart or crash: a gateway that started later found its peers by the seeds only, and a restart of all gateways forgot which requests crash upstreams. Cause: an acknowledged write counted as permanent.

--- a/internal/process/gatewayrunner/crashrows.go
+++ b/internal/process/gatewayrunner/crashrows.go
@@ -71,11 +71,11 @@
 }
 
 // maintainCrashRows reads the crash rows when the gateway starts and while no peer is live, and writes the own row after
-// each crash, until the context ends.
+// each crash and when the store was restored, until the context ends.
 func (g *gateway) maintainCrashRows(ctx context.Context) error {
 	uninformed := time.AfterFunc(maxUninformed, func() { g.informed.Store(true) })
 	defer uninformed.Stop()
-	unwritten, hadPeers := false, false
+	unwritten, hasWritten, hadPeers := false, false, false
 	due := true
 	for {
 		if due {
@@ -86,6 +86,8 @@
 			return nil
 		case <-g.crashObserved:
 			unwritten = true
+		case <-g.crashRowLost:
+			unwritten = hasWritten
 		case <-time.After(crashRowInterval):
 			live := g.hasLivePeers()
 			hadPeers = hadPeers || live
@@ -93,6 +95,7 @@
 		}
 		if unwritten {
 			unwritten = g.writeCrashRow(ctx) != nil
+			hasWritten = hasWritten || !unwritten
 		}
 	}
 }
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -97,6 +97,9 @@
 	stopping chan struct{}
 	// era is the last known era of the store; only tick uses it.
 	era replicator.Era
+	// nodeRowLost and crashRowLost wake the writers of the gateway's own rows after the store was restored.
+	nodeRowLost  chan struct{}
+	crashRowLost chan struct{}
 	// retainedRows holds the number of retained rows of each table that was last logged; only applyTables uses it.
 	retainedRows map[replicator.Table]int
 	// ready is the result of the last readiness check.
@@ -143,6 +146,8 @@
 		stopping:      make(chan struct{}),
 		tablesChanged: make(chan struct{}, 1),
 		crashObserved: make(chan struct{}, 1),
+		nodeRowLost:   make(chan struct{}, 1),
+		crashRowLost:  make(chan struct{}, 1),
 		lastPull:      map[replicator.Table]time.Time{},
 		retainedRows:  map[replicator.Table]int{},
 	}
@@ -539,8 +544,8 @@
 	g.replicator.MergeFromPeer(time.Now(), t, rows, t == platform.UpstreamTable)
 }
 
-// maintainNodeRow writes the gateway's row in the node table and adds the gateways of the other rows as possible peers,
-// until the context ends. The first read takes place once gateways that started at the same time have written their
+// maintainNodeRow writes the gateway's row in the node table, again when the store was restored, and adds the gateways of
+// the other rows as possible peers, until the context ends. The first read takes place once gateways that started at the same time have written their
 // rows. Later only relays read, since the others find new gateways through them.
 func (g *gateway) maintainNodeRow(ctx context.Context) error {
 	written := false
@@ -554,8 +559,17 @@
 			written = err == nil
 			g.countStoreFailure(ctx, err)
 		}
-		if !waiter.For(ctx, pause) {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-time.After(pause):
+		case <-g.nodeRowLost:
+			// The gateways write their rows at different times.
+			if !waiter.For(ctx, rand.N(housekeepingInterval)) {
+				return nil
+			}
+			written, pause = false, 0
+			continue
 		}
 		pause = nodeInterval
 		if written && g.nodesRead && !g.gossiper.IsRelay() {
--- a/internal/process/gatewayrunner/restoration.go
+++ b/internal/process/gatewayrunner/restoration.go
@@ -6,7 +6,8 @@
 	"currantledge.example/currantledge/platform"
 )
 
-// observeEra logs that the platform's store was restored from a copy.
+// observeEra notices that the platform's store was restored from a copy. The gateway's own rows may be lost and are
+// written again.
 func (g *gateway) observeEra() {
 	previous, era := g.era, g.store.Era()
 	g.era = era
@@ -14,6 +15,12 @@
 		return
 	}
 	g.log.Event(logger.EventStoreRestored).Uint64("era", uint64(era)).Uint64("previousEra", uint64(previous)).Send()
+	for _, lost := range []chan struct{}{g.nodeRowLost, g.crashRowLost} {
+		select {
+		case lost <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // logRetained logs the retained rows of each table when their number has changed. Only applyTables calls it.
