Let a gateway that starts after a restoration ask its peers first

A gateway that started between the store's return and the operator's next write had the restored configuration and answered 404 for routes that its peers served; nothing made it ask them, since the versions that they send are those of the store.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,11 +98,18 @@
 	stopping chan struct{}
 	// era is the last known era of the store; only tick uses it.
 	era replicator.Era
+	// pulledRetained is set once the gateway has pulled what its peers retain from before a restoration of the store, or
+	// waits for it no longer.
+	pulledRetained atomic.Bool
 	// nodeRowLost and crashRowLost wake the writers of the gateway's own rows after the store was restored.
 	nodeRowLost  chan struct{}
 	crashRowLost chan struct{}
-	// retainedRows holds the number of retained rows of each table that was last logged; only applyTables uses it.
+	// applyMu guards the two fields below; applyRows holds it.
+	applyMu sync.Mutex
+	// retainedRows holds the number of retained rows of each table that was last logged.
 	retainedRows map[replicator.Table]int
+	// disprovals is the number of disprovals after which the rows were last applied.
+	disprovals int
 	// ready is the result of the last readiness check.
 	ready atomic.Bool
 	// tablesChanged wakes applyTables; it is buffered, so that changes in quick succession are applied together.
@@ -392,9 +400,10 @@
 	return g.fleet.Load().Catalogue != nil
 }
 
-// servedFleet returns the configuration and upstreams for clients' requests: none until the gateway is informed.
+// servedFleet returns the configuration and upstreams for clients' requests: none until the gateway is informed, or while
+// its peers may know a newer configuration than the store.
 func (g *gateway) servedFleet() cataloguer.Fleet {
-	if !g.informed.Load() {
+	if !g.informed.Load() || g.mayLackRetained() {
 		return cataloguer.Fleet{}
 	}
 	return *g.fleet.Load()
@@ -437,42 +446,48 @@
 	}
 }
 
-// applyTables decodes the tables after each change and applies them until the context ends.
+// applyTables applies the tables after each change until the context ends.
 func (g *gateway) applyTables(ctx context.Context) error {
-	disprovals := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-g.tablesChanged:
+			g.applyRows()
 		}
-		previous := g.fleet.Load()
-		if n := g.replicator.Disprovals(); n != disprovals {
-			disprovals, previous = n, &cataloguer.Fleet{}
-		}
-		fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
-			g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
-		problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
-		for _, p := range problems {
-			g.log.Event(logger.EventRowInvalid).AnErr("error", p).Send()
-		}
-		g.fleet.Store(&fleet)
-		g.groups.retain(fleet.Upstreams)
-		g.admitter.SetFleet(time.Now(), fleet)
-		version := uint64(0)
-		if fleet.Catalogue != nil {
-			version = uint64(fleet.Catalogue.Version())
-		}
-		// Peers that do not follow the platform's store pull the rows when they receive the new versions.
-		g.gossiper.Broadcast()
-		g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
-			Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
-			Str("operatorRows", replicator.VersionText(g.replicator.Version(platform.OperatorTable))).
-			Str("upstreamRows", replicator.VersionText(g.replicator.Version(platform.UpstreamTable))).Send()
-		g.logRetained()
 	}
 }
 
+// applyRows decodes the tables and applies them.
+func (g *gateway) applyRows() {
+	g.applyMu.Lock()
+	defer g.applyMu.Unlock()
+	previous := g.fleet.Load()
+	if n := g.replicator.Disprovals(); n != g.disprovals {
+		g.disprovals, previous = n, &cataloguer.Fleet{}
+	}
+	fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
+		g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
+	problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
+	for _, p := range problems {
+		g.log.Event(logger.EventRowInvalid).AnErr("error", p).Send()
+	}
+	g.fleet.Store(&fleet)
+	g.groups.retain(fleet.Upstreams)
+	g.admitter.SetFleet(time.Now(), fleet)
+	version := uint64(0)
+	if fleet.Catalogue != nil {
+		version = uint64(fleet.Catalogue.Version())
+	}
+	// Peers that do not follow the platform's store pull the rows when they receive the new versions.
+	g.gossiper.Broadcast()
+	g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
+		Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
+		Str("operatorRows", replicator.VersionText(g.replicator.Version(platform.OperatorTable))).
+		Str("upstreamRows", replicator.VersionText(g.replicator.Version(platform.UpstreamTable))).Send()
+	g.logRetained()
+}
+
 // tick updates the peers' counts, applies deferred deletions and pulls rows every tickInterval until the context ends.
 func (g *gateway) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -52,6 +52,7 @@
 	group.Add(g.upstreamFollower.Run)
 	group.Add(g.applyTables)
 	group.Add(g.tick)
+	group.Add(g.pullRetained)
 	group.Add(g.maintainNodeRow)
 	group.Add(g.maintainCrashRows)
 	group.Add(g.leader.RunLease)
