Log the pause that an upstream names

The lines of attempts did not tell whether an upstream had named a pause; 701 now holds retryAfterS. No decision changes.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -29,6 +29,8 @@
 	// responseTimeoutFactor is how long a retryable request waits for the first event of a stream or the end of a plain
 	// response before it is sent to another upstream, as a multiple of the route's objective.
 	responseTimeoutFactor = 2
+	// retryAfterHeader holds the time, in seconds, after which a rejected request may come again.
+	retryAfterHeader = "Retry-After"
 )
 
 // attemptResult is the result of sending a request to one upstream.
@@ -104,7 +106,7 @@
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
 	sent := time.Now()
-	s.firstByte, s.head, s.limit = 0, 0, ""
+	s.firstByte, s.head, s.limit, s.pause = 0, 0, "", ""
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -210,6 +212,7 @@
 func (f *Forwarder) receive(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time) attemptResult {
 	s.head = time.Since(sent)
 	s.limit = got.Header.Get(f.cfg.Names.Limit)
+	s.pause = got.Header.Get(retryAfterHeader)
 	n := f.cfg.Names
 	id := got.Header.Get(n.RequestID)
 	switch {
@@ -345,6 +348,9 @@
 	if s.limit != "" {
 		line = line.Str("limitPerS", s.limit)
 	}
+	if s.pause != "" {
+		line = line.Str("retryAfterS", s.pause)
+	}
 	if !r.complete && s.firstByte == 0 {
 		line = line.Strs("parts", identifier.PartNames(c.prompt.Parts))
 		if s.head > 0 {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -437,7 +437,7 @@
 func (f *Forwarder) refuse(w http.ResponseWriter, c *call, reason string, retryAfter time.Duration) {
 	f.cfg.Meter.Increment(meter.GatewayRefused)
 	f.logEnd(c, http.StatusServiceUnavailable, reason)
-	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	w.Header().Set(retryAfterHeader, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_, _ = io.WriteString(w, "The request was not run: "+reason+". Send it again after the time in Retry-After.\n")
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -40,6 +40,8 @@
 	head time.Duration
 	// limit is the text of the rate limit in the latest response, or empty.
 	limit string
+	// pause is the text of the Retry-After in the latest response, or empty.
+	pause string
 	// firstByte is the time from sending the latest attempt to the first event of its response, or 0.
 	firstByte time.Duration
 }
