--- a/internal/request/forwarder/enginegroup_test.go
+++ b/internal/request/forwarder/enginegroup_test.go
@@ -88,20 +88,34 @@
 	// each rank got requests.
 	limits   [rankCount]float64
 	received [rankCount][]time.Time
-	// arrivals wakes runPasses.
-	arrivals chan struct{}
+	// rejecting is set for ranks that reject all requests, and pause is the time that they ask for, or 0 for none.
+	rejecting [rankCount]bool
+	pause     time.Duration
+	// rejections holds the times at which the ranks rejected requests of each gateway, and arrivals those of all requests.
+	rejections [rankCount]map[int][]time.Time
+	arrivals   [rankCount]map[int][]time.Time
+	// enqueued wakes runPasses.
+	enqueued chan struct{}
 	// aborted is closed, and replaced, when the group aborts its requests.
 	aborted chan struct{}
 }
 
 func newEngineGroup(ctx context.Context) *engineGroup {
-	g := &engineGroup{arrivals: make(chan struct{}, 1), aborted: make(chan struct{})}
+	g := &engineGroup{enqueued: make(chan struct{}, 1), aborted: make(chan struct{})}
+	for r := range rankCount {
+		g.rejections[r], g.arrivals[r] = map[int][]time.Time{}, map[int][]time.Time{}
+	}
 	go g.runPasses(ctx)
 	return g
 }
 
+// dialFrom returns the function with which a gateway connects to ranks.
+func (g *engineGroup) dialFrom(gateway int) func(context.Context, string, string) (net.Conn, error) {
+	return func(_ context.Context, _, address string) (net.Conn, error) { return g.dial(gateway, address) }
+}
+
 // dial connects to a rank; the address is its number.
-func (g *engineGroup) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (g *engineGroup) dial(gateway int, address string) (net.Conn, error) {
 	rank, err := strconv.Atoi(address)
 	if err != nil {
 		return nil, err
@@ -113,12 +127,12 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	clientSide, serverSide := net.Pipe()
-	go g.serve(serverSide, rank)
+	go g.serve(serverSide, gateway, rank)
 	return clientSide, nil
 }
 
 // serve reads one request and responds to it.
-func (g *engineGroup) serve(c net.Conn, rank int) {
+func (g *engineGroup) serve(c net.Conn, gateway, rank int) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	q, err := http.ReadRequest(reader)
@@ -139,6 +153,10 @@
 		_, _ = reader.Read(one[:])
 		close(request.clientGone)
 	}()
+	if head, rejected := g.reject(gateway, rank); rejected {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n", q.Header.Get("Id"), head)
+		return
+	}
 	aborted, accepted := g.enqueue(rank, request)
 	request.limit = g.limit(rank)
 	if !accepted {
@@ -196,12 +214,77 @@
 	}
 	g.waiting[rank] = append(g.waiting[rank], request)
 	select {
-	case g.arrivals <- struct{}{}:
+	case g.enqueued <- struct{}{}:
 	default:
 	}
 	return g.aborted, true
 }
 
+// setRejecting makes the first ranks reject all requests and ask for a pause unless it is 0. With 0 ranks, none rejects any
+// more.
+func (g *engineGroup) setRejecting(ranks int, pause time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := range rankCount {
+		g.rejecting[r] = r < ranks
+	}
+	g.pause = pause
+}
+
+// reject records a request of a gateway. If the rank rejects it, it returns the rank's fields of the response.
+func (g *engineGroup) reject(gateway, rank int) (head string, rejected bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.arrivals[rank][gateway] = append(g.arrivals[rank][gateway], now)
+	if !g.rejecting[rank] {
+		return "", false
+	}
+	g.rejections[rank][gateway] = append(g.rejections[rank][gateway], now)
+	head = fmt.Sprintf("Load: %d,0,%d\r\n", len(g.running[rank]), rankSlots)
+	if g.pause > 0 {
+		head += fmt.Sprintf("Retry-After: %g\r\n", g.pause.Seconds())
+	}
+	return head, true
+}
+
+// mostWithinPause returns the largest number of requests that a rank got from one gateway between half a second after it
+// had asked that gateway for a pause and the end of the pause.
+func (g *engineGroup) mostWithinPause(pause time.Duration) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	most := 0
+	for r := range rankCount {
+		for gateway, rejected := range g.rejections[r] {
+			for _, at := range rejected {
+				n := 0
+				for _, arrival := range g.arrivals[r][gateway] {
+					if arrival.Sub(at) > 500*time.Millisecond && arrival.Sub(at) < pause {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+		}
+	}
+	return most
+}
+
+// arrived returns how many requests a rank got in an interval.
+func (g *engineGroup) arrived(rank int, from, to time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, arrivals := range g.arrivals[rank] {
+		for _, at := range arrivals {
+			if !at.Before(from) && at.Before(to) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // setLimits makes the first ranks name a limit, or none if it is 0.
 func (g *engineGroup) setLimits(ranks int, perSecond float64) {
 	g.mu.Lock()
@@ -287,7 +370,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-g.arrivals:
+			case <-g.enqueued:
 			}
 			continue
 		}
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -124,7 +124,7 @@
 				}
 			},
 			Budgeter:  b,
-			Requester: requester.New(requester.Config{Dial: s.group.dial}),
+			Requester: requester.New(requester.Config{Dial: s.group.dialFrom(i)}),
 			Log:       logger.Discard(),
 			Meter:     meter.New(),
 			Stopping:  make(chan struct{}),
