Do not close a running group because one rank rejects requests

Cause: ranks of a closed group do reject with free slots, but so does a rank in need.

A rejection now closes the group only if no stream of this gateway has received data for 200 ms, or if three ranks, or all of a smaller group, rejected requests since the last data.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -43,6 +43,10 @@
 	// requests, a pause of all of them may be chance.
 	stallTimeout       = 600 * time.Millisecond
 	minStalledRequests = 3
+	// maxEventGap is longer than the usual time between two events of a stream.
+	maxEventGap = 200 * time.Millisecond
+	// minRejecters is the number of ranks that reject requests between two events of a running group only if it has closed.
+	minRejecters = 3
 	// probeInterval is the time between two requests that probe a closed group, over all gateways. Each failed probe
 	// costs a retry; the first gateway whose probe succeeds notifies the others.
 	probeInterval = 45 * time.Millisecond
@@ -312,6 +316,7 @@
 	}
 	switch r := feedback.(type) {
 	case Served:
+		u.group.recordData(now)
 		a.openGroup(now, s, u.group, CauseProgress)
 		u.backoff = 0
 		u.recordFailures(now, 0)
@@ -325,8 +330,7 @@
 		u.backoffUntil = now.Add(u.backoff)
 	case Rejected:
 		u.backoffUntil = now.Add(rejectionBackoff)
-		// A rank with free slots rejects requests only while its group is closed.
-		if r.LoadKnown && r.Load.Running < r.Load.Slots && r.Load.Waiting == 0 {
+		if r.hasRoom() && u.group.recordRejection(now, u.ID) {
 			a.closeGroup(now, s, u.group, CauseRejection)
 		}
 	case Replaced:
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -140,6 +140,11 @@
 	LoadKnown bool
 }
 
+// hasRoom reports whether the upstream rejected the request although it could have run it.
+func (r Rejected) hasRoom() bool {
+	return r.LoadKnown && r.Load.Running < r.Load.Slots && r.Load.Waiting == 0
+}
+
 // Replaced means that another upstream answers at the address.
 type Replaced struct{}
 
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -39,8 +39,12 @@
 	// running is the number of requests that this gateway runs on the ranks, and ranks that of the usable ranks.
 	running int
 	ranks   int
-	// lastProgress is when a request of this gateway last received data.
+	// lastProgress is when a request of this gateway last received data, or when the first of the running ones started.
 	lastProgress time.Time
+	// dataAt is when a request of this gateway last received data, and rejecters are the ranks that have rejected a request
+	// since then although they had free slots.
+	dataAt    time.Time
+	rejecters map[identifier.Upstream]bool
 	// closed is set while the group runs no requests.
 	closed      bool
 	closedSince time.Time
@@ -61,7 +65,7 @@
 	if previous != nil {
 		*g = *previous
 	}
-	g.name, g.window = name, &startWindow{}
+	g.name, g.window, g.rejecters = name, &startWindow{}, map[identifier.Upstream]bool{}
 	return g
 }
 
@@ -122,10 +126,23 @@
 	if !found {
 		return
 	}
-	u.group.lastProgress = now
+	u.group.recordData(now)
 	a.openGroup(now, a.service(u.Service), u.group, CauseProgress)
 }
 
+func (g *group) recordData(now time.Time) {
+	g.lastProgress, g.dataAt = now, now
+	clear(g.rejecters)
+}
+
+// recordRejection records that a rank with free slots rejected a request, and reports whether that shows that the group is
+// closed. The ranks of a closed group all reject requests. So does a single rank for reasons of its own, but then the
+// streams of the others go on.
+func (g *group) recordRejection(now time.Time, id identifier.Upstream) bool {
+	g.rejecters[id] = true
+	return now.Sub(g.dataAt) >= maxEventGap || len(g.rejecters) >= min(g.ranks, minRejecters)
+}
+
 // stalled reports whether a group that runs at least minStalledRequests requests of this gateway has produced no data for
 // stallTimeout. The ranks of such a group wait for a rank that is gone, and reject new requests only once its loss is
 // certain.
--- a/internal/request/admitter/group_test.go
+++ b/internal/request/admitter/group_test.go
@@ -175,3 +175,19 @@
 		require.Greater(t, float64(onTime[w]), 0.9*float64(arrived[w]))
 	}
 }
+
+// Load: one rank with free slots rejects requests while the streams of the others go on. Guards against a group that is
+// closed for all because of one rank, and against one that stays open although no stream goes on.
+func TestRejectionByOneRankDoesNotCloseARunningGroup(t *testing.T) {
+	t.Parallel()
+	f := newFixture(rank("x", "g", 4), rank("y", "g", 4))
+	now := start
+	open := func() bool { return f.Groups()[identifier.GroupID{Service: model, Group: "g"}].Open }
+	f.RecordProgress(now, "x")
+	now = now.Add(100 * time.Millisecond)
+	f.reject(now, requireGranted(t, f.Submit(now, request(model, now))))
+	require.True(t, open())
+	now = now.Add(time.Second)
+	f.reject(now, requireGranted(t, f.Submit(now, request(model, now))))
+	require.False(t, open())
+}
