Leave upstreams that reject requests alone for a while

Class: trust in a low load of an upstream that does no work.

request/pauser decides, without I/O, when such an upstream gets the next request: after the pause that it names (at most 5 min), or after 0.25 to 4 s if it names none; one request is tried first.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -21,6 +21,7 @@
 
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/limiter"
+	"currantledge.example/currantledge/internal/request/pauser"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/replicator"
 )
@@ -122,6 +123,7 @@
 	ordered  []*upstream
 	services map[identifier.Service]*service
 	limiter  *limiter.Limiter
+	pauser   *pauser.Pauser
 	// pendingNotifications are calls that unlock makes once the lock is released.
 	pendingNotifications []func()
 }
@@ -140,6 +142,7 @@
 		upstreams: map[identifier.Upstream]*upstream{},
 		services:  map[identifier.Service]*service{},
 		limiter:   limiter.New(limiter.Config{Draw: cfg.Draw}),
+		pauser:    pauser.New(pauser.Config{Draw: cfg.Draw}),
 	}
 }
 
@@ -191,6 +194,7 @@
 	markSuperseded(a.upstreams)
 	a.countRanks()
 	a.limiter.Retain(now, func(id identifier.Upstream) bool { return a.upstreams[id] != nil })
+	a.pauser.Retain(func(id identifier.Upstream) bool { return a.upstreams[id] != nil })
 	a.dispatch(now)
 }
 
@@ -294,6 +298,9 @@
 		g.firstByte.pending = false
 		g.firstByte.window.observeFirstByte(now, now.Sub(g.firstByte.since))
 	}
+	if g.afterPause {
+		a.pauser.Accept(now, g.Upstream.ID)
+	}
 	a.dispatch(now)
 }
 
@@ -314,8 +321,14 @@
 		u.running--
 		u.group.running--
 	}
+	if g.afterPause {
+		a.pauser.Release(u.ID)
+	}
 	switch r := feedback.(type) {
 	case Served:
+		if g.afterPause {
+			a.pauser.Accept(now, u.ID)
+		}
 		u.group.recordData(now)
 		a.openGroup(now, s, u.group, CauseProgress)
 		u.backoff = 0
@@ -333,6 +346,9 @@
 		if r.hasRoom() && u.group.recordRejection(now, u.ID) {
 			a.closeGroup(now, s, u.group, CauseRejection)
 		}
+		if r.Pause > 0 || r.hasRoom() && !u.group.closed {
+			a.pauser.Reject(now, u.ID, r.Pause)
+		}
 	case Replaced:
 		u.replaced = true
 		markSuperseded(a.upstreams)
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -53,7 +53,7 @@
 		own += u.running
 		peers += u.peerRunning
 		u.limit = 0
-		if a.usable(u) {
+		if a.usable(u) && a.pauser.Allows(now, u.ID) {
 			usable = append(usable, u)
 			total += a.usableSlots(s, u)
 		}
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -36,6 +36,8 @@
 	// Load is the number of other requests known to run on the upstream at the time of the grant, over all gateways.
 	Load      int
 	firstByte *firstByteWait
+	// afterPause is set if the request is the one that the upstream gets first after a pause.
+	afterPause bool
 }
 
 // firstByteWait is the state of a granted request before the first byte of its response. The lock of the Admitter guards
@@ -138,6 +140,8 @@
 	// Load is valid if LoadKnown is set.
 	Load      Load
 	LoadKnown bool
+	// Pause is the time for which the upstream asks for no requests of this gateway, or 0.
+	Pause time.Duration
 }
 
 // hasRoom reports whether the upstream rejected the request although it could have run it.
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -8,7 +8,7 @@
 
 // choose returns the best upstream of a random sample of those in some groups that can accept the request, or nil. The
 // counts of other gateways are some hundred milliseconds old: if every gateway chose the best of all, many would choose
-// the same one at the same time.
+// the same one at the same time. Upstreams from which other gateways had to turn away come last.
 func (a *Admitter) choose(now time.Time, s *service, request Request, groups map[*group]bool) *upstream {
 	if request.IsolateBy != "" {
 		u := a.isolationUpstream(request)
@@ -17,12 +17,19 @@
 		}
 		return u
 	}
-	var accepting []*upstream
+	var accepting, discouraged []*upstream
 	for _, u := range a.ordered {
-		if u.Service == request.Service && groups[u.group] && !request.Exclude[u.ID] && a.usable(u) && a.accepts(now, s, u, request) {
+		switch {
+		case u.Service != request.Service, !groups[u.group], request.Exclude[u.ID], !a.usable(u), !a.accepts(now, s, u, request):
+		case a.pauser.IsDiscouraged(now, u.ID):
+			discouraged = append(discouraged, u)
+		default:
 			accepting = append(accepting, u)
 		}
 	}
+	if len(accepting) == 0 {
+		accepting = discouraged
+	}
 	samples := len(accepting)
 	if a.gateways > 1 {
 		samples = min(samples, sampledUpstreams)
@@ -56,13 +63,13 @@
 }
 
 // accepts reports whether an upstream can accept one more request now: it has a free slot within this gateway's
-// allotment, no backoff, and its rate limit allows a request, if it has one or is cold.
+// allotment, no backoff or pause, and its rate limit allows a request, if it has one or is cold.
 func (a *Admitter) accepts(now time.Time, s *service, u *upstream, request Request) bool {
 	full := u.running+u.peerRunning >= u.Slots
 	if !u.group.allotment.computedAt.IsZero() {
 		full = u.running >= u.limit
 	}
-	if full || now.Before(u.backoffUntil) {
+	if full || now.Before(u.backoffUntil) || !a.pauser.Allows(now, u.ID) {
 		return false
 	}
 	if _, limited := a.limiter.Limit(u.ID); limited {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -99,7 +99,10 @@
 	}
 	a.limiter.Take(best.ID, a.demandShare(now, s))
 	best.coldPacer.nextSend = now.Add(a.coldInterval(s))
-	t.resolve(Granted{Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, firstByte: &firstByteWait{pending: isStart, since: now, window: best.group.window}})
+	t.resolve(Granted{
+		Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, afterPause: a.pauser.Take(best.ID),
+		firstByte: &firstByteWait{pending: isStart, since: now, window: best.group.window},
+	})
 	return true
 }
 
@@ -137,7 +140,7 @@
 			continue
 		}
 		usable[u.group] = true
-		if !u.group.closed {
+		if !u.group.closed && a.pauser.Allows(now, u.ID) {
 			openSlots += a.usableSlots(s, u)
 		}
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -31,6 +31,8 @@
 	responseTimeoutFactor = 2
 	// retryAfterHeader holds the time, in seconds, after which a rejected request may come again.
 	retryAfterHeader = "Retry-After"
+	// maxPauseSeconds keeps a pause within the range of time.Duration.
+	maxPauseSeconds = 1e6
 )
 
 // attemptResult is the result of sending a request to one upstream.
@@ -282,7 +284,20 @@
 	if known {
 		detail += ", load " + got.Header.Get(f.cfg.Names.Load)
 	}
-	return attemptResult{feedback: admitter.Rejected{Load: load, LoadKnown: known}, notRun: true, detail: detail}
+	rejected := admitter.Rejected{Load: load, LoadKnown: known}
+	if got.Status == http.StatusServiceUnavailable {
+		rejected.Pause = parsePause(got.Header.Get(retryAfterHeader))
+	}
+	return attemptResult{feedback: rejected, notRun: true, detail: detail}
+}
+
+// parsePause parses a number of seconds. An invalid or negative one, or a date, asks for no pause.
+func parsePause(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
 }
 
 // parseLoad parses "running,waiting,slots" and reports whether the text is valid.
