Send no more requests to an upstream whose responses announce its end

An upstream that leaves says so in its responses (Server-Leaving). A gateway knew it by the platform's list or by closed connections only, so that while the store was away, or for an upstream that the list never marks, it sent requests until the upstream was gone. A response with the request's own id now takes the upstream out of use at this gateway, until the upstream starts again (field born), its row ends, or 10 minutes are over.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -214,6 +214,12 @@
 		}
 		known.backoffUntil, known.backoff, known.replaced = time.Time{}, 0, false
 	}
+	if u.Generation > known.Generation {
+		a.pauser.Forget(u.ID)
+	}
+	if u.Generation > known.Generation || now.Sub(known.leavingSince) > leavingLife {
+		known.leavingSince = time.Time{}
+	}
 	known.Upstream = u
 }
 
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -115,6 +115,28 @@
 	require.Equal(t, admitter.ReasonNoUpstream, requireRefused(t, f.Submit(start, request(shop, start))).Reason)
 }
 
+// Guards against requests to an upstream that has announced its end, whatever its entry says, and against one that gets
+// none after it has started again.
+func TestLeavingUpstreamGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	u := upstream("x", shop, 3)
+	u.Generation = 1
+	f := newFixture(u)
+	f.RecordLeaving(start, "x")
+	list := func(now time.Time, version, generation uint64) {
+		u.Version, u.Generation = version, generation
+		f.fleet.Upstreams = []cataloguer.Upstream{u}
+		f.SetFleet(now, f.fleet)
+	}
+	list(start.Add(time.Second), 2, 1)
+	require.Equal(t, admitter.ReasonNoUpstream, requireRefused(t, f.Submit(start, request(shop, start))).Reason)
+	list(start.Add(2*time.Second), 3, 2)
+	requireGrantedUpstream(t, f.Submit(start, request(shop, start)))
+	f.RecordLeaving(start, "x")
+	list(start.Add(11*time.Minute), 4, 2)
+	requireGrantedUpstream(t, f.Submit(start, request(shop, start)))
+}
+
 // Guards against a cold upstream that fails under too many requests: all gateways together stay below
 // factor × rate + slack.
 func TestColdUpstreamIsRateLimited(t *testing.T) {
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -83,7 +83,7 @@
 
 // usable reports whether an upstream may receive requests at all.
 func (a *Admitter) usable(u *upstream) bool {
-	return !u.Draining && !a.evacuated[u.FailureDomain] && !u.superseded()
+	return !u.Draining && !u.isLeaving() && !a.evacuated[u.FailureDomain] && !u.superseded()
 }
 
 const (
--- a/internal/request/admitter/upstream.go
+++ b/internal/request/admitter/upstream.go
@@ -30,6 +30,8 @@
 	firstByte time.Duration
 	// coldUntil is the end of the cold time; until then the rate limit of cold upstreams applies.
 	coldUntil time.Time
+	// leavingSince is when the upstream announced that it leaves; zero if it has not.
+	leavingSince time.Time
 	// replaced is set once another upstream has answered at the address.
 	replaced bool
 	// supersededBy is the newest list entry with the same service and address, or nil if it is this one.
@@ -76,6 +78,10 @@
 	return u.failures * math.Exp2(-halfLives)
 }
 
+func (u *upstream) isLeaving() bool {
+	return !u.leavingSince.IsZero()
+}
+
 // superseded reports whether the upstream has probably ended: its list entry remains for some seconds while its
 // successor, which has a newer entry, answers at the same address.
 func (u *upstream) superseded() bool {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -225,6 +225,9 @@
 	}
 	if id == c.id {
 		f.recordLimit(s)
+		if got.Header.Get(n.Leaving) != "" {
+			f.cfg.Admitter.RecordLeaving(time.Now(), s.grant.Upstream.ID)
+		}
 	}
 	switch {
 	case got.Header.Get(n.NotRun) != "":
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -68,6 +68,8 @@
 	Load string
 	// Limit holds the requests a second that an upstream takes from all gateways together, while it is limited.
 	Limit string
+	// Leaving is set in the responses of an upstream that leaves.
+	Leaving string
 	// LastEvent holds the id of the last event that the client received.
 	LastEvent string
 	// Priority orders requests at an engine, from 0, which is served first, to 9.
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -30,7 +30,7 @@
 
 var names = forwarder.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Customer: "Customer", Upstream: "Upstream", Stamp: "Stamp",
-	NotRun: "Not-Run", Load: "Load", Limit: "Limit", LastEvent: "Last-Event-Id", Priority: "Priority",
+	NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving", LastEvent: "Last-Event-Id", Priority: "Priority",
 }
 
 // responder responds to one request as an upstream.
--- a/internal/request/pauser/pauser.go
+++ b/internal/request/pauser/pauser.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// Leave records that an upstream has announced that it leaves, for the other gateways. The announcement counts for the
+// caller itself without the Pauser.
+func (p *Pauser) Leave(now time.Time, id identifier.Upstream) {
+	p.notices[id] = federator.UpstreamNotice{Until: p.notices[id].Until, At: now, Leaving: true}
+}
+
 // IsDiscouraged reports whether other gateways have heard that an upstream wants no requests now.
 func (p *Pauser) IsDiscouraged(now time.Time, id identifier.Upstream) bool {
 	notice, found := p.notices[id]
@@ -180,6 +186,12 @@
 	}
 }
 
+// Forget removes the pause of an upstream that has started again.
+func (p *Pauser) Forget(id identifier.Upstream) {
+	delete(p.pauses, id)
+	delete(p.notices, id)
+}
+
 // Retain removes the pauses of upstreams for which keep returns false.
 func (p *Pauser) Retain(keep func(identifier.Upstream) bool) {
 	maps.DeleteFunc(p.pauses, func(id identifier.Upstream, _ *pause) bool { return !keep(id) })
--- a/internal/version/cataloguer/upstream.go
+++ b/internal/version/cataloguer/upstream.go
@@ -21,6 +21,8 @@
 	Draining bool
 	// ColdLeft is how much longer the rate limit for cold upstreams applies, counted from this version of the row.
 	ColdLeft time.Duration
+	// Generation rises with each start of the upstream under its id; 0 if it is not known.
+	Generation uint64
 	// Version is the version of the row, which increases with each change.
 	Version uint64
 }
