Refuse requests at once while all upstreams of a service pause

If all upstreams of a service had named pauses that end after a request's time, the request waited in vain until its deadline. It is now refused at once with the reason paused and the time of the first end as Retry-After, as far as clients honour it; if a pause ends in time, the request waits for it.

--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -137,6 +137,29 @@
 	requireGrantedUpstream(t, f.Submit(start, request(shop, start)))
 }
 
+// Load: all upstreams of a service have asked for pauses. Guards against requests that wait until their deadline although
+// it is known that they cannot be served, and against refusals of those that the first end of a pause allows.
+func TestRequestIsRefusedAtOnceWhileAllUpstreamsPause(t *testing.T) {
+	t.Parallel()
+	f := newFixture(upstream("x", shop, 3), upstream("y", shop, 3))
+	for _, pause := range []time.Duration{4 * time.Second, 3 * time.Second} {
+		g := requireGranted(t, f.Submit(start, request(shop, start)))
+		f.Done(start, g, admitter.Rejected{Pause: pause})
+	}
+	for _, noClientRetry := range []bool{false, true} {
+		r := request(shop, start)
+		r.NoClientRetry = noClientRetry
+		refused := requireRefused(t, f.Submit(start, r))
+		require.Equal(t, admitter.ReasonPaused, refused.Reason)
+		require.Equal(t, 8*time.Second/admitter.RetryAfterDivisor, refused.RetryAfter, "3 s, but no longer than clients honour")
+	}
+	now := start.Add(1500 * time.Millisecond)
+	waiting := f.Submit(now, request(shop, now))
+	require.Nil(t, decision(waiting))
+	f.Tick(start.Add(3 * time.Second))
+	requireGrantedUpstream(t, waiting)
+}
+
 // Guards against a cold upstream that fails under too many requests: all gateways together stay below
 // factor × rate + slack.
 func TestColdUpstreamIsRateLimited(t *testing.T) {
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -20,6 +20,8 @@
 	ReasonOverload Reason = "overload"
 	// ReasonDeadline means that no upstream could accept the request in time.
 	ReasonDeadline Reason = "deadline"
+	// ReasonPaused means that all upstreams of the service have asked for pauses which end too late for the request.
+	ReasonPaused Reason = "paused"
 	// ReasonEvacuated is unused: upstreams of an evacuated failure domain count as missing, see ReasonNoUpstream.
 	ReasonEvacuated Reason = "evacuated"
 )
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -135,11 +135,19 @@
 func (a *Admitter) refusal(now time.Time, s *service, t *Ticket) (Refused, bool) {
 	usable := map[*group]bool{}
 	openSlots := 0
+	var pauseEnd time.Time
+	allPaused := true
 	for _, u := range a.upstreams {
 		if u.Service != s.Name || !a.usable(u) || t.request.Exclude[u.ID] {
 			continue
 		}
 		usable[u.group] = true
+		switch until := a.pauser.Until(now, u.ID); {
+		case until.IsZero():
+			allPaused = false
+		case pauseEnd.IsZero() || until.Before(pauseEnd):
+			pauseEnd = until
+		}
 		if !u.group.closed && a.pauser.Allows(now, u.ID) {
 			openSlots += a.usableSlots(s, u)
 		}
@@ -154,6 +162,9 @@
 	if len(usable) == 0 {
 		return newRefused(now, t, ReasonNoUpstream, time.Second), true
 	}
+	if allPaused && pauseEnd.After(t.request.GrantUntil) {
+		return newRefused(now, t, ReasonPaused, pauseEnd.Sub(now)), true
+	}
 	if t.request.NoClientRetry {
 		return Refused{}, false
 	}
