Pass on which upstreams want no requests

Each gateway had to be rejected itself by an upstream that wants a pause, or hear itself that one leaves: with many gateways the retries for that alone use up the budget. Class: what an upstream says of itself was known only to the gateway that heard it. Datagrams now hold these notices (at most 256, counted for 10 s); they only decide between upstreams that can accept a request, so a false one shuts nothing out.

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -162,6 +162,9 @@
 	if len(s.Limits) > 0 {
 		f.events = append(f.events, LimitsReported{Peer: s.Node, Limits: s.Limits})
 	}
+	if len(s.Notices) > 0 {
+		f.events = append(f.events, NoticesReported{Peer: s.Node, Notices: s.Notices})
+	}
 	if s.FailureDomain == f.cfg.FailureDomain {
 		return nil, f.receiveOwn(now, d) && f.IsRelay()
 	}
--- a/internal/connection/federator/state.go
+++ b/internal/connection/federator/state.go
@@ -41,6 +41,8 @@
 	Crashes CrashReport
 	// Limits holds the rate limits of upstreams; empty in most datagrams.
 	Limits map[identifier.Upstream]UpstreamLimit
+	// Notices holds what upstreams have said about further requests.
+	Notices map[identifier.Upstream]UpstreamNotice
 	// Demand holds the gateway's rate of requests a second for each service that has limited upstreams.
 	Demand map[identifier.Service]float64
 	// Peers are datagram addresses of other gateways.
--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -13,29 +13,30 @@
 
 // wireState is the CBOR form of a State.
 type wireState struct {
-	Node           string               `cbor:"node"`
-	FailureDomain  string               `cbor:"failureDomain"`
-	LinkMbps       float64              `cbor:"linkMbps,omitempty"`
-	Address        string               `cbor:"address"`
-	ControlAddress string               `cbor:"control"`
-	Incarnation    uint64               `cbor:"incarnation"`
-	Sequence       uint64               `cbor:"sequence"`
-	Versions       map[string]uint64    `cbor:"versions"`
-	Running        map[string]int       `cbor:"running"`
-	Stopping       bool                 `cbor:"stopping,omitempty"`
-	Leading        bool                 `cbor:"leading,omitempty"`
-	Groups         map[string]bool      `cbor:"groups,omitempty"`
-	GroupsOpened   map[string]uint64    `cbor:"opened,omitempty"`
-	StoreLost      bool                 `cbor:"storeLost,omitempty"`
-	StoreAgeMs     uint64               `cbor:"storeAgeMs,omitempty"`
-	Resigned       uint64               `cbor:"resigned,omitempty"`
-	Crashes        []wireSuspicion      `cbor:"crashes,omitempty"`
-	AnsweredAgesMs map[string]int64     `cbor:"answeredAgesMs,omitempty"`
-	Limits         map[string]wireLimit `cbor:"limits,omitempty"`
-	Demand         map[string]float64   `cbor:"demand,omitempty"`
-	Peers          []string             `cbor:"peers,omitempty"`
-	Summaries      []wireSummary        `cbor:"summaries,omitempty"`
-	Relays         []wireContact        `cbor:"relays,omitempty"`
+	Node           string                `cbor:"node"`
+	FailureDomain  string                `cbor:"failureDomain"`
+	LinkMbps       float64               `cbor:"linkMbps,omitempty"`
+	Address        string                `cbor:"address"`
+	ControlAddress string                `cbor:"control"`
+	Incarnation    uint64                `cbor:"incarnation"`
+	Sequence       uint64                `cbor:"sequence"`
+	Versions       map[string]uint64     `cbor:"versions"`
+	Running        map[string]int        `cbor:"running"`
+	Stopping       bool                  `cbor:"stopping,omitempty"`
+	Leading        bool                  `cbor:"leading,omitempty"`
+	Groups         map[string]bool       `cbor:"groups,omitempty"`
+	GroupsOpened   map[string]uint64     `cbor:"opened,omitempty"`
+	StoreLost      bool                  `cbor:"storeLost,omitempty"`
+	StoreAgeMs     uint64                `cbor:"storeAgeMs,omitempty"`
+	Resigned       uint64                `cbor:"resigned,omitempty"`
+	Crashes        []wireSuspicion       `cbor:"crashes,omitempty"`
+	AnsweredAgesMs map[string]int64      `cbor:"answeredAgesMs,omitempty"`
+	Limits         map[string]wireLimit  `cbor:"limits,omitempty"`
+	Notices        map[string]wireNotice `cbor:"notices,omitempty"`
+	Demand         map[string]float64    `cbor:"demand,omitempty"`
+	Peers          []string              `cbor:"peers,omitempty"`
+	Summaries      []wireSummary         `cbor:"summaries,omitempty"`
+	Relays         []wireContact         `cbor:"relays,omitempty"`
 }
 
 // wireSuspicion is the CBOR form of a Suspicion. Its time is sent as its age.
@@ -57,6 +58,13 @@
 	AgeMs     int64   `cbor:"ageMs"`
 }
 
+// wireNotice is the CBOR form of an UpstreamNotice. Its time is sent as its age, and the end of the pause as the time left.
+type wireNotice struct {
+	LeftMs  int64 `cbor:"leftMs,omitempty"`
+	Leaving bool  `cbor:"leaving,omitempty"`
+	AgeMs   int64 `cbor:"ageMs"`
+}
+
 // wireContact is the CBOR form of a Contact.
 type wireContact struct {
 	Address       string `cbor:"address"`
@@ -120,6 +128,12 @@
 			w.Limits[string(id)] = wireLimit{Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: now.Sub(l.At).Milliseconds()}
 		}
 	}
+	if len(s.Notices) > 0 {
+		w.Notices = make(map[string]wireNotice, len(s.Notices))
+		for id, n := range s.Notices {
+			w.Notices[string(id)] = encodeNotice(now, n)
+		}
+	}
 	for _, c := range d.Relays {
 		w.Relays = append(w.Relays, wireContact{Address: c.Address, FailureDomain: string(c.FailureDomain)})
 	}
@@ -231,6 +245,12 @@
 			d.State.Limits[identifier.Upstream(id)] = federator.UpstreamLimit{Limited: l.Limited, PerSecond: l.PerSecond, At: before(now, l.AgeMs)}
 		}
 	}
+	if len(w.Notices) > 0 {
+		d.State.Notices = make(map[identifier.Upstream]federator.UpstreamNotice, len(w.Notices))
+		for id, n := range w.Notices {
+			d.State.Notices[identifier.Upstream(id)] = decodeNotice(now, n)
+		}
+	}
 	for _, c := range w.Relays {
 		d.Relays = append(d.Relays, federator.Contact{Address: c.Address, FailureDomain: identifier.FailureDomain(c.FailureDomain)})
 	}
@@ -271,6 +291,23 @@
 	return s
 }
 
+func encodeNotice(now time.Time, n federator.UpstreamNotice) wireNotice {
+	w := wireNotice{Leaving: n.Leaving, AgeMs: now.Sub(n.At).Milliseconds()}
+	if n.Until.After(now) {
+		w.LeftMs = n.Until.Sub(now).Milliseconds()
+	}
+	return w
+}
+
+// decodeNotice decodes a notice. A pause counts for an hour at most.
+func decodeNotice(now time.Time, w wireNotice) federator.UpstreamNotice {
+	n := federator.UpstreamNotice{Leaving: w.Leaving, At: before(now, w.AgeMs)}
+	if w.LeftMs > 0 {
+		n.Until = now.Add(time.Duration(min(w.LeftMs, time.Hour.Milliseconds())) * time.Millisecond)
+	}
+	return n
+}
+
 // before returns the time that lies some milliseconds before now. A negative age counts as 0.
 func before(now time.Time, ageMs int64) time.Time {
 	return now.Add(-time.Duration(max(ageMs, 0)) * time.Millisecond)
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -272,6 +272,7 @@
 	now := time.Now()
 	limits, demand := g.admitter.Limits(now)
 	s.Demand = demand
+	s.Notices = g.admitter.Notices(now)
 	if g.news.due(now) || complete {
 		s.Crashes = g.screener.Report(now)
 		s.Limits = limits
@@ -289,6 +290,8 @@
 		g.informed.Store(true)
 	case federator.LimitsReported:
 		g.mergeLimits(e)
+	case federator.NoticesReported:
+		g.mergeNotices(e)
 	case federator.GroupOpened:
 		g.leader.GroupOpened(e.Group)
 		g.admitter.GroupOpened(time.Now(), e.Group)
@@ -341,6 +344,16 @@
 	}
 }
 
+// mergeNotices applies what upstreams have said to another gateway about further requests.
+func (g *gateway) mergeNotices(e federator.NoticesReported) {
+	now := time.Now()
+	for _, id := range g.admitter.MergeNotices(now, e.Notices) {
+		n := e.Notices[id]
+		g.log.Event(logger.EventUpstreamNotice).Str("upstream", string(id)).Bool("leaving", n.Leaving).
+			Dur("pauseMs", max(0, n.Until.Sub(now))).Str("observer", string(e.Peer)).Dur("ageMs", now.Sub(n.At)).Send()
+	}
+}
+
 // announceLimit logs that the rate limit of an upstream has changed. The next datagrams hold it.
 func (g *gateway) announceLimit(id identifier.Upstream) {
 	now := time.Now()
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -85,6 +85,12 @@
 	d.mu.Unlock()
 	time.Sleep(delay)
 	w.Header().Set("Request-Id", id)
+	if pause := r.Header.Get("Test-Pause"); pause != "" {
+		w.Header().Set("Retry-After", pause)
+	}
+	if r.Header.Get("Test-Leaving") != "" {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -79,6 +79,7 @@
 	EventRowsIgnored          Event = 736
 	EventEraDisproven         Event = 737
 	EventRowsRetained         Event = 738
+	EventUpstreamNotice       Event = 739
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -151,6 +152,7 @@
 	EventRowsIgnored:          {zerolog.InfoLevel, "rows of the platform store ignored"},
 	EventEraDisproven:         {zerolog.WarnLevel, "rows of a false era removed"},
 	EventRowsRetained:         {zerolog.InfoLevel, "rows retained from before the restoration"},
+	EventUpstreamNotice:       {zerolog.InfoLevel, "upstream wants no requests or accepts them again"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/request/admitter/notice.go
+++ b/internal/request/admitter/notice.go
@@ -28,11 +28,17 @@
 func (a *Admitter) Notices(now time.Time) map[identifier.Upstream]federator.UpstreamNotice {
 	a.mu.Lock()
 	defer a.unlock()
-	return a.pauser.Report(now)
+	out := a.pauser.Report(now)
+	for id, u := range a.upstreams {
+		if u.isLeaving() {
+			out[id] = federator.UpstreamNotice{Leaving: true, At: now}
+		}
+	}
+	return out
 }
 
-// MergeNotices applies what upstreams have said to another gateway, and reports whether there is news among it.
-func (a *Admitter) MergeNotices(now time.Time, reported map[identifier.Upstream]federator.UpstreamNotice) bool {
+// MergeNotices applies what upstreams have said to another gateway, and returns the upstreams for which that is news.
+func (a *Admitter) MergeNotices(now time.Time, reported map[identifier.Upstream]federator.UpstreamNotice) []identifier.Upstream {
 	a.mu.Lock()
 	defer a.unlock()
 	known := map[identifier.Upstream]federator.UpstreamNotice{}
--- a/internal/request/pauser/pauser.go
+++ b/internal/request/pauser/pauser.go
@@ -11,6 +11,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantledge.example/currantledge/internal/connection/federator"
@@ -34,6 +35,8 @@
 	// refreshAge is how much newer a notice has to be to count. A copy that returns from another gateway appears newer by
 	// its time on the network.
 	refreshAge = 100 * time.Millisecond
+	// maxReported bounds the notices in a report, which a datagram has to hold.
+	maxReported = 256
 )
 
 // Config sets up a Pauser.
@@ -119,10 +122,10 @@
 	return found && now.Sub(notice.At) < maxAdvice && (notice.Leaving || now.Before(notice.Until))
 }
 
-// Merge applies the notices that another gateway has and reports whether there is news among them. The news that an
+// Merge applies the notices that another gateway has and returns the upstreams for which they are news. The news that an
 // upstream accepts requests again ends a pause that the upstream has not named.
-func (p *Pauser) Merge(now time.Time, reported map[identifier.Upstream]federator.UpstreamNotice) bool {
-	news := false
+func (p *Pauser) Merge(now time.Time, reported map[identifier.Upstream]federator.UpstreamNotice) []identifier.Upstream {
+	var news []identifier.Upstream
 	for id, r := range reported {
 		known, found := p.notices[id]
 		if r.At.After(now) {
@@ -131,8 +134,10 @@
 		if now.Sub(r.At) >= maxAdvice || found && r.At.Sub(known.At) < refreshAge {
 			continue
 		}
-		news = news || !found || known.Until.IsZero() != r.Until.IsZero() || known.Leaving != r.Leaving
 		r.Leaving = r.Leaving || known.Leaving
+		if known.Until.IsZero() != r.Until.IsZero() || known.Leaving != r.Leaving {
+			news = append(news, id)
+		}
 		p.notices[id] = r
 		if own, paused := p.pauses[id]; paused && !own.named && r.Until.IsZero() && r.At.After(own.rejectedAt) {
 			own.until = now
@@ -141,10 +146,18 @@
 	return news
 }
 
-// Report returns the notices that are to be sent to the other gateways.
+// Report returns the notices that are to be sent to the other gateways, the newest if there are many.
 func (p *Pauser) Report(now time.Time) map[identifier.Upstream]federator.UpstreamNotice {
 	p.expire(now)
-	return maps.Clone(p.notices)
+	out := maps.Clone(p.notices)
+	if len(out) <= maxReported {
+		return out
+	}
+	ids := slices.SortedFunc(maps.Keys(out), func(x, y identifier.Upstream) int { return out[y].At.Compare(out[x].At) })
+	for _, id := range ids[maxReported:] {
+		delete(out, id)
+	}
+	return out
 }
 
 // expire removes the notices that no longer count.
--- a/internal/request/pauser/pauser_test.go
+++ b/internal/request/pauser/pauser_test.go
@@ -64,7 +64,7 @@
 	t.Parallel()
 	p := newPauser()
 	merge := func(now time.Time, n federator.UpstreamNotice) bool {
-		return p.Merge(now, map[identifier.Upstream]federator.UpstreamNotice{id: n})
+		return len(p.Merge(now, map[identifier.Upstream]federator.UpstreamNotice{id: n})) > 0
 	}
 	require.True(t, merge(at(0), federator.UpstreamNotice{Until: at(1000), At: at(500)}))
 	require.True(t, p.Allows(at(1), id))
