Do not believe a refusal without an id on a kept connection

Here a 421 or Not-Run response without a request id was believed on a kept connection, so that a client was told 'not run' with a Retry-After for a request that the upstream had taken. Requests that must not be repeated use new connections and were not reached. On a reused connection a response without an id is now a failure that may have run.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -152,6 +152,8 @@
 	Length int64
 	// Framed is set if the response delimits its body; otherwise the body ends when the connection is closed.
 	Framed bool
+	// Reused is set if the connection had served a request before: the response may be a late one to that request.
+	Reused bool
 	// Closing is set if the upstream closes the connection after the response although the request did not ask for that.
 	Closing bool
 	Body    io.Reader
@@ -185,7 +187,7 @@
 // Do sends a request and reads the head of the response. Cancelling the context closes the connection at once, also
 // while the body is read.
 func (r *Requester) Do(ctx context.Context, q Request) (*Response, error) {
-	conn, err := r.connect(ctx, q)
+	conn, reused, err := r.connect(ctx, q)
 	if err != nil {
 		return nil, err
 	}
@@ -224,6 +226,7 @@
 		Header:  response.Header,
 		Length:  response.ContentLength,
 		Framed:  response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		Reused:  reused,
 		Closing: response.Close && !q.NewConnection,
 		Body:    body,
 
@@ -305,17 +308,17 @@
 }
 
 // connect returns an idle connection, or a new one if there is none or the request requires one.
-func (r *Requester) connect(ctx context.Context, q Request) (*connection, error) {
+func (r *Requester) connect(ctx context.Context, q Request) (c *connection, reused bool, err error) {
 	if !q.NewConnection {
 		if c := r.take(q.Address); c != nil {
-			return c, nil
+			return c, true, nil
 		}
 	}
 	raw, err := r.dial(ctx, "tcp", q.Address)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", q.Address), ErrNotSent)
+		return nil, false, errors.Mark(errors.Wrapf(err, "connect to %s", q.Address), ErrNotSent)
 	}
-	return newConnection(raw), nil
+	return newConnection(raw), false, nil
 }
 
 // Refuses reports whether an address refuses connections, as it does once its process has ended.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -220,6 +220,8 @@
 	switch {
 	case id != "" && id != c.id:
 		return attemptResult{feedback: admitter.Failed{}, detail: "answer belongs to another request"}
+	case id == "" && got.Reused:
+		return attemptResult{feedback: admitter.Failed{}, detail: "answer without a request id on a reused connection"}
 	case got.Status == http.StatusMisdirectedRequest:
 		return attemptResult{feedback: admitter.Replaced{}, notRun: true, detail: "another upstream has the address"}
 	}
