Log pauses within streams, late grants and why requests wait

The logs could not tell why responses were late: lines 700 and 701 now hold longestGapMs and late, 740 shows at most once a second how a group is used while requests wait, and gatewayLongestGapMs is a histogram. No decision changes.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -120,6 +120,8 @@
 	operatorFollower *follower.Follower
 	upstreamFollower *follower.Follower
 	groups           *groupStates
+	// backlogsLoggedAt is when waiting requests were last logged; only tick uses it.
+	backlogsLoggedAt time.Time
 	// nodesRead is set once the node table has been read.
 	nodesRead bool
 	// lastPull holds, for each table of which a peer has a higher version, when the last pull started. While the first
@@ -513,6 +515,7 @@
 			g.observeEra()
 			// This also evaluates the waiting requests.
 			g.countPeers(now)
+			g.logBacklogs(now)
 			g.replicator.ApplyDeferred(now)
 			g.pull(ctx, now)
 		}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -80,6 +80,7 @@
 	EventEraDisproven         Event = 737
 	EventRowsRetained         Event = 738
 	EventUpstreamNotice       Event = 739
+	EventRequestsWait         Event = 740
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -153,6 +154,7 @@
 	EventEraDisproven:         {zerolog.WarnLevel, "rows of a false era removed"},
 	EventRowsRetained:         {zerolog.InfoLevel, "rows retained from before the restoration"},
 	EventUpstreamNotice:       {zerolog.InfoLevel, "upstream wants no requests or accepts them again"},
+	EventRequestsWait:         {zerolog.InfoLevel, "requests wait for upstreams"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -70,5 +70,6 @@
 		{GatewayWaitMs, TypeHistogram, "requests"},
 		{GatewayFirstByteMs, TypeHistogram, "requests"},
 		{GatewayAnswerMs, TypeHistogram, "requests"},
+		{GatewayLongestGapMs, TypeHistogram, "requests"},
 	}
 }
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -63,6 +63,8 @@
 	GatewayWaitMs      Name = "gatewayWaitMs"
 	GatewayFirstByteMs Name = "gatewayFirstByteMs"
 	GatewayAnswerMs    Name = "gatewayAnswerMs"
+	// GatewayLongestGapMs is the longest time between two events of a complete stream.
+	GatewayLongestGapMs Name = "gatewayLongestGapMs"
 )
 
 // publishedName is the name of the expvar variable that holds all metrics.
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -326,6 +326,10 @@
 	if u.running > 0 {
 		u.running--
 		u.group.running--
+		if g.late {
+			u.runningLate--
+			u.group.runningLate--
+		}
 	}
 	if g.afterPause {
 		a.pauser.Release(u.ID)
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -36,7 +36,9 @@
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
 	// Load is the number of other requests known to run on the upstream at the time of the grant, over all gateways.
-	Load      int
+	Load int
+	// late is set if the request could no longer be on time.
+	late      bool
 	firstByte *firstByteWait
 	// afterPause is set if the request is the one that the upstream gets first after a pause.
 	afterPause bool
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -39,6 +39,8 @@
 	// running is the number of requests that this gateway runs on the ranks, and ranks that of the usable ranks.
 	running int
 	ranks   int
+	// runningLate is the number of those in running that could no longer be on time when they were granted.
+	runningLate int
 	// lastProgress is when a request of this gateway last received data, or when the first of the running ones started.
 	lastProgress time.Time
 	// dataAt is when a request of this gateway last received data, and rejecters are the ranks that have rejected a request
@@ -93,11 +95,12 @@
 func (a *Admitter) countRanks() {
 	for _, s := range a.services {
 		for _, g := range s.groups {
-			g.running, g.ranks = 0, 0
+			g.running, g.runningLate, g.ranks = 0, 0, 0
 		}
 	}
 	for _, u := range a.upstreams {
 		u.group.running += u.running
+		u.group.runningLate += u.runningLate
 		if a.usable(u) {
 			u.group.ranks++
 		}
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -65,11 +65,7 @@
 // accepts reports whether an upstream can accept one more request now: it has a free slot within this gateway's
 // allotment, no backoff or pause, and its rate limit allows a request, if it has one or is cold.
 func (a *Admitter) accepts(now time.Time, s *service, u *upstream, request Request) bool {
-	full := u.running+u.peerRunning >= u.Slots
-	if !u.group.allotment.computedAt.IsZero() {
-		full = u.running >= u.limit
-	}
-	if full || now.Before(u.backoffUntil) || !a.pauser.Allows(now, u.ID) {
+	if u.isFull() || now.Before(u.backoffUntil) || !a.pauser.Allows(now, u.ID) {
 		return false
 	}
 	if _, limited := a.limiter.Limit(u.ID); limited {
@@ -81,6 +77,14 @@
 	return !now.Before(u.coldUntil) || s.ColdPerSecond <= 0 || !now.Before(u.coldPacer.nextSend)
 }
 
+// isFull reports whether the upstream has no free slot within this gateway's allotment.
+func (u *upstream) isFull() bool {
+	if u.group.allotment.computedAt.IsZero() {
+		return u.running+u.peerRunning >= u.Slots
+	}
+	return u.running >= u.limit
+}
+
 // usable reports whether an upstream may receive requests at all.
 func (a *Admitter) usable(u *upstream) bool {
 	return !u.Draining && !u.isLeaving() && !a.evacuated[u.FailureDomain] && !u.superseded()
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -93,6 +93,11 @@
 	}
 	best.running++
 	best.group.running++
+	late := t.lateness(now) > 0
+	if late {
+		best.runningLate++
+		best.group.runningLate++
+	}
 	isStart := s.Engine != nil && t.request.Stream
 	if isStart {
 		best.group.window.starting++
@@ -100,7 +105,7 @@
 	a.limiter.Take(best.ID, a.demandShare(now, s))
 	best.coldPacer.nextSend = now.Add(a.coldInterval(s))
 	t.resolve(Granted{
-		Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, afterPause: a.pauser.Take(best.ID),
+		Upstream: best.Upstream, Waited: now.Sub(t.arrived), Load: load, late: late, afterPause: a.pauser.Take(best.ID),
 		firstByte: &firstByteWait{pending: isStart, since: now, window: best.group.window},
 	})
 	return true
--- a/internal/request/admitter/upstream.go
+++ b/internal/request/admitter/upstream.go
@@ -16,6 +16,8 @@
 	// running is the number of requests that this gateway runs on the upstream, and peerRunning that of all others.
 	running     int
 	peerRunning int
+	// runningLate is the number of those in running that could no longer be on time when they were granted.
+	runningLate int
 	// limit is the number of requests that the allotment lets this gateway run on a rank of a group.
 	limit int
 	// backoff is the latest backoff after a failed connection; the upstream gets no requests before backoffUntil.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -108,7 +108,7 @@
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
 	sent := time.Now()
-	s.firstByte, s.head, s.limit, s.pause = 0, 0, "", ""
+	s.firstByte, s.longestGap, s.head, s.limit, s.pause = 0, 0, 0, "", ""
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -365,6 +365,12 @@
 	if s.firstByte > 0 {
 		line = line.Dur("firstByteMs", s.firstByte)
 	}
+	if s.longestGap > 0 {
+		line = line.Dur("longestGapMs", s.longestGap)
+	}
+	if !sent.Before(c.onTimeUntil) {
+		line = line.Bool("late", true)
+	}
 	if s.limit != "" {
 		line = line.Str("limitPerS", s.limit)
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -107,6 +107,7 @@
 	waitTimes      *meter.Histogram
 	firstByteTimes *meter.Histogram
 	responseTimes  *meter.Histogram
+	longestGaps    *meter.Histogram
 }
 
 // New returns a Forwarder.
@@ -129,6 +130,7 @@
 		waitTimes:      cfg.Meter.NewHistogram(meter.GatewayWaitMs),
 		firstByteTimes: cfg.Meter.NewHistogram(meter.GatewayFirstByteMs),
 		responseTimes:  cfg.Meter.NewHistogram(meter.GatewayAnswerMs),
+		longestGaps:    cfg.Meter.NewHistogram(meter.GatewayLongestGapMs),
 	}
 	// Hop-by-hop fields, and those that the gateway sets itself.
 	for _, name := range []string{
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -44,6 +44,10 @@
 	pause string
 	// firstByte is the time from sending the latest attempt to the first event of its response, or 0.
 	firstByte time.Duration
+	// lastEventAt is when the latest attempt last received an event, and longestGap the longest time between two of its
+	// events.
+	lastEventAt time.Time
+	longestGap  time.Duration
 }
 
 // sendHead stops the response timer and sends the head of the first upstream's response to the client; heads of later
@@ -183,6 +187,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			s.sendHead(got.Header, got.Status)
 			f.logEnd(c, got.Status, "complete")
+			f.longestGaps.Observe(s.longestGap)
 			return attemptResult{feedback: f.servedFeedback(got, sent, s.firstByte), complete: true}
 		case errors.Is(err, io.EOF):
 			return f.classifyError(clientCtx, c, s, errTruncatedEvent)
@@ -196,6 +201,10 @@
 func (f *Forwarder) recordProgress(c *call, s *stream, sent time.Time) {
 	now := time.Now()
 	f.cfg.Admitter.RecordProgress(now, s.grant.Upstream.ID)
+	if s.firstByte > 0 {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
+	}
+	s.lastEventAt = now
 	if s.firstByte == 0 {
 		s.firstByte = now.Sub(sent)
 		s.endWatch()
