Notice shifts of demand by passes that become slower

The map then followed a mean of the demand before and after a shift, with two or three switches in 1.9 to 2.2 s. Class: a threshold that fits one size of a group. It now follows the distance of steady samples (0.03 to 0.05 here). Besides, all streams show a shift within two passes: these become 1.3 to 1.5 times as long at once.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -29,12 +29,12 @@
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
 	"currantledge.example/currantledge/internal/request/screener"
-	"currantledge.example/currantledge/internal/request/timekeeper"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/follower"
 	"currantledge.example/currantledge/internal/version/grouper"
 	"currantledge.example/currantledge/internal/version/mapleader"
 	"currantledge.example/currantledge/internal/version/replicator"
+	"currantledge.example/currantledge/internal/version/timekeeper"
 	"currantledge.example/currantledge/platform"
 )
 
@@ -179,7 +179,7 @@
 		ColdFactor:    settings.Bounds.ColdFactor,
 		ColdSlack:     settings.Bounds.ColdSlack,
 		OnGroupChange: g.handleGroupChange,
-		OnPass:        func(id identifier.GroupID, p timekeeper.Pass) { g.leader.PassBegan(id, p.Took) },
+		OnPass:        func(id identifier.GroupID, p timekeeper.Pass) { g.leader.PassBegan(id, p) },
 	})
 	g.budgeter = budgeter.New(budgeter.Config{
 		Ratio:  settings.Bounds.BudgetRatio,
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -22,9 +22,9 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/limiter"
 	"currantledge.example/currantledge/internal/request/pauser"
-	"currantledge.example/currantledge/internal/request/timekeeper"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/replicator"
+	"currantledge.example/currantledge/internal/version/timekeeper"
 )
 
 const (
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -58,6 +58,7 @@
 			total += a.usableSlots(s, u)
 		}
 	}
+	g.load = float64(own+peers) / float64(max(len(usable), 1))
 	share := 1 / float64(a.gateways)
 	if running := own + peers; running > 0 {
 		share = max(share, float64(own)/float64(running))
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/identifier"
-	"currantledge.example/currantledge/internal/request/timekeeper"
+	"currantledge.example/currantledge/internal/version/timekeeper"
 )
 
 // Cause is the observation that closed or opened a group.
@@ -61,6 +61,8 @@
 	window         *startWindow
 	allotment      allotment
 	timekeeper     *timekeeper.Timekeeper
+	// load is the mean number of requests that run on a rank, over all gateways.
+	load float64
 }
 
 // newGroup returns a group that is open, or one in the state of the group to which its ranks belonged before.
@@ -142,7 +144,7 @@
 
 // recordGap records the time between two events of a stream. It reports the pass that the first stream with an event shows.
 func (a *Admitter) recordGap(now time.Time, u *upstream, gap time.Duration) {
-	pass, ended := u.group.timekeeper.Observe(now, gap)
+	pass, ended := u.group.timekeeper.Observe(now, gap, a.service(u.Service).baseLoad()+u.group.load)
 	if !ended {
 		return
 	}
@@ -150,6 +152,18 @@
 	a.pendingNotifications = append(a.pendingNotifications, func() { a.cfg.OnPass(id, pass) })
 }
 
+// defaultBaseLoad is the base load of engines that do not state theirs.
+const defaultBaseLoad = 10
+
+// baseLoad returns the number of requests on each rank that lengthen a pass as much as the part of it that does not depend
+// on requests.
+func (s *service) baseLoad() float64 {
+	if s.Engine == nil || s.Engine.StepTime <= 0 || s.Engine.StepTimePerStream <= 0 {
+		return defaultBaseLoad
+	}
+	return float64(s.Engine.StepTime) / float64(s.Engine.StepTimePerStream)
+}
+
 func (g *group) recordData(now time.Time) {
 	g.lastProgress, g.dataAt = now, now
 	clear(g.rejecters)
@@ -225,6 +239,7 @@
 	g.closed = false
 	g.openedAt = now
 	g.window.reset()
+	g.timekeeper.Reset()
 	g.allotment = allotment{}
 	a.allot(now, s, g)
 	closedFor := now.Sub(g.closedSince)
--- a/internal/version/cataloguer/cataloguer.go
+++ b/internal/version/cataloguer/cataloguer.go
@@ -73,6 +73,10 @@
 	FormTime time.Duration
 	// ExpertLoadTime is how long a rank takes to load one expert.
 	ExpertLoadTime time.Duration
+	// StepTime is how long a rank takes for one step of a pass without requests, and StepTimePerStream how much longer each
+	// stream makes it; 0 if they are not known.
+	StepTime          time.Duration
+	StepTimePerStream time.Duration
 	// MeanPromptTokens and MeanResponseTokens are the mean lengths of the prompt and the response of a request.
 	MeanPromptTokens   int
 	MeanResponseTokens int
--- a/internal/version/estimator/estimator.go
+++ b/internal/version/estimator/estimator.go
@@ -1,8 +1,9 @@
 // Package estimator estimates the popularity of experts from the counts of some ranks of a group. It handles two kinds of
 // demand:
 //   - Demand drifts: a moving average follows it.
-//   - Demand shifts at once to other experts: a sample that differs far from the average starts a new estimate. That
-//     sample mixes the demand before and after the shift, so the next one, of a short interval, replaces it.
+//   - Demand shifts at once to other experts: a sample that is farther from the average than those of steady demand, or one
+//     that follows another sign of a shift, starts a new estimate. The first such sample mixes the demand before and after
+//     the shift, so the next one, of a short interval, replaces it.
 //
 // The package has no I/O and reads no clock.
 package estimator
@@ -15,10 +16,16 @@
 const (
 	// timeConstant is that of the moving average, over which single requests do not matter.
 	timeConstant = 1500 * time.Millisecond
-	// shiftDistance is the total variation distance between a sample and the average at or above which demand has
-	// shifted.
-	shiftDistance = 0.18
-	// noiseFactor raises that distance for small samples: it is multiplied with the distance that chance alone explains.
+	// A sample shows that demand has shifted if its total variation distance from the average is at least minShiftDistance,
+	// and shiftFactor times that of steady demand. The sampled ranks differ from their group, the more so the fewer requests
+	// they run, while a shift moves less of the demand the more experts there are.
+	minShiftDistance = 0.07
+	shiftFactor      = 2.2
+	// firstDistance is that of steady demand until it is known, and distanceSmoothing the weight of the latest sample in its
+	// moving average.
+	firstDistance     = 0.08
+	distanceSmoothing = 0.2
+	// noiseFactor raises the distance for small samples: it is multiplied with the distance that chance alone explains.
 	noiseFactor = 1.5
 )
 
@@ -64,19 +71,24 @@
 	weights []float64
 	// shifted is set if the latest sample began a new estimate.
 	shifted bool
+	// steadyDistance is the moving average of the distances of samples of steady demand.
+	steadyDistance float64
+	// expected is set between ExpectShift and the next sample, and verifies until the one after it.
+	expected bool
+	verifies bool
 }
 
 // New returns an Estimator for a group that has just formed.
 func New(cfg Config) *Estimator {
 	e := &Estimator{
 		sets: cfg.Sets, experts: cfg.Experts, lastCounts: make([][]float64, cfg.Ranks), shares: make([][]float64, cfg.Sets),
-		weights: make([]float64, cfg.Sets),
+		weights: make([]float64, cfg.Sets), steadyDistance: firstDistance,
 	}
 	for s := range e.shares {
 		e.shares[s] = make([]float64, cfg.Experts)
 	}
 	if p := cfg.Previous; p != nil && p.sets == cfg.Sets && p.experts == cfg.Experts {
-		e.shares, e.weights, e.updatedAt = p.shares, p.weights, p.updatedAt
+		e.shares, e.weights, e.updatedAt, e.steadyDistance = p.shares, p.weights, p.updatedAt, p.steadyDistance
 	}
 	return e
 }
@@ -91,26 +103,43 @@
 		}
 		return VerdictFirst
 	}
-	weight := 1.0
-	if !e.updatedAt.IsZero() {
-		weight = 1 - math.Exp(-now.Sub(e.updatedAt).Seconds()/timeConstant.Seconds())
+	if e.updatedAt.IsZero() {
+		e.update(now, sample, totals, 1)
+		return VerdictSteady
 	}
+	weight := 1 - math.Exp(-now.Sub(e.updatedAt).Seconds()/timeConstant.Seconds())
+	distance, noise := e.distance(sample, totals)
+	isFar := distance >= max(minShiftDistance, shiftFactor*e.steadyDistance, noiseFactor*noise)
 	switch {
-	case e.shifted:
-		e.shifted = false
-		weight = 1
-	case !e.updatedAt.IsZero() && e.hasShifted(sample, totals):
+	case e.expected:
+		e.expected, e.verifies = false, true
+		return VerdictShifted
+	case e.shifted, e.verifies && isFar:
+		e.shifted, weight = false, 1
+	case e.verifies:
+	case isFar:
 		e.shifted = true
-		weight = 1
-	}
-	e.updatedAt = now
-	e.add(sample, totals, weight)
-	if e.shifted {
+		e.update(now, sample, totals, 1)
 		return VerdictShifted
+	default:
+		e.steadyDistance += distanceSmoothing * (distance - e.steadyDistance)
 	}
+	e.verifies = false
+	e.update(now, sample, totals, weight)
 	return VerdictSteady
 }
 
+// ExpectShift records a sign that demand has shifted since the last sample. The next sample mixes the demand before and
+// after the shift, so it only begins the one after it, which starts a new estimate if it confirms the shift.
+func (e *Estimator) ExpectShift() {
+	e.expected = true
+}
+
+func (e *Estimator) update(now time.Time, sample, totals []float64, weight float64) {
+	e.updatedAt = now
+	e.add(sample, totals, weight)
+}
+
 // sample returns the sum of the counts of the ranks since their previous ones, and whether a rank had previous ones. The
 // first counts of a rank cover all the time since its start, so they are used only without a better estimate.
 func (e *Estimator) sample(ranks []int, counts [][]float64) (sample []float64, hasPrevious bool) {
@@ -155,10 +184,10 @@
 	return true
 }
 
-// hasShifted reports whether a sample is farther from the estimate, on average over the sets, than steady demand and
-// chance explain.
-func (e *Estimator) hasShifted(sample, totals []float64) bool {
-	distance, noise, sets := 0.0, 0.0, 0.0
+// distance returns the total variation distance between a sample and the estimate, on average over the sets, and the one
+// that chance alone explains if both are of the same demand.
+func (e *Estimator) distance(sample, totals []float64) (distance, noise float64) {
+	sets := 0.0
 	for s, total := range totals {
 		if total == 0 {
 			continue
@@ -173,7 +202,7 @@
 			noise += math.Sqrt(2*variance/math.Pi) / 2
 		}
 	}
-	return sets > 0 && distance/sets >= max(shiftDistance, noiseFactor*noise/sets)
+	return distance / max(sets, 1), noise / max(sets, 1)
 }
 
 // add moves the estimate towards a sample.
--- a/internal/version/estimator/estimator_test.go
+++ b/internal/version/estimator/estimator_test.go
@@ -197,3 +197,113 @@
 	require.Equal(t, estimator.VerdictSteady, e.Observe(now.Add(3200*time.Millisecond), []int{0}, [][]float64{{100, 1900}}))
 	require.InDeltaSlice(t, []float64{0, 1}, e.Popularity()[0], 1e-9)
 }
+
+// largeDemand is the demand for the experts of a group of 192 ranks, as the counts of two ranks show it. A shift moves 12%
+// of the demand, and a sample differs from the group by 4% to 6%, as in trials.
+type largeDemand struct {
+	random *rand.Rand
+	shares []float64
+	counts []float64
+}
+
+const (
+	largeSets    = 10
+	largeExperts = 384
+)
+
+func newLargeDemand(seed uint64) *largeDemand {
+	d := &largeDemand{
+		random: rand.New(rand.NewPCG(seed, 1)), shares: make([]float64, largeSets*largeExperts),
+		counts: make([]float64, largeSets*largeExperts),
+	}
+	for i := range d.shares {
+		d.shares[i] = (0.2 + d.random.ExpFloat64()) / largeExperts
+	}
+	return d
+}
+
+// shift exchanges the demand of some experts of each set until 12% of it has moved.
+func (d *largeDemand) shift() {
+	for s := range largeSets {
+		set := d.shares[s*largeExperts : (s+1)*largeExperts]
+		total := 0.0
+		for _, p := range set {
+			total += p
+		}
+		for moved := 0.0; moved < 0.12*total; {
+			i, j := d.random.IntN(largeExperts), d.random.IntN(largeExperts)
+			moved += math.Abs(set[i] - set[j])
+			set[i], set[j] = set[j], set[i]
+		}
+	}
+}
+
+// sample returns the counts after some time more.
+func (d *largeDemand) sample(length time.Duration) []float64 {
+	const countsPerSecond, noise = 400_000, 0.1
+	for i, p := range d.shares {
+		d.counts[i] += math.Round(p * math.Exp(noise*d.random.NormFloat64()) * countsPerSecond * length.Seconds())
+	}
+	return slices.Clone(d.counts)
+}
+
+// Guards against shifts of demand that a group with many experts does not show, since each moves less of the demand, so
+// that the map follows a mean of the demand before and after them for seconds.
+func TestShiftsAmongManyExpertsAreSeen(t *testing.T) {
+	t.Parallel()
+	const length = 20
+	d := newLargeDemand(1)
+	e := estimator.New(estimator.Config{Sets: largeSets, Experts: largeExperts, Ranks: 1})
+	now := time.Unix(1000, 0)
+	missed, unfounded := 0, 0
+	for range length {
+		for i := range 7 {
+			now = now.Add(countInterval)
+			verdict := e.Observe(now, []int{0}, [][]float64{d.sample(countInterval)})
+			switch {
+			case verdict == estimator.VerdictShifted && i > 0:
+				unfounded++
+			case verdict != estimator.VerdictShifted && i == 0:
+				missed++
+			}
+		}
+		d.shift()
+	}
+	require.Zero(t, unfounded)
+	require.LessOrEqual(t, missed, 2, "the first sample, and the first shift, before steady demand is known")
+}
+
+// Guards against a wrong sign of a shift, after which a short sample of two ranks replaces the estimate of seconds, and
+// against a right one that is ignored.
+func TestExpectedShiftIsVerified(t *testing.T) {
+	t.Parallel()
+	d := newLargeDemand(1)
+	e := estimator.New(estimator.Config{Sets: largeSets, Experts: largeExperts, Ranks: 1})
+	now := time.Unix(1000, 0)
+	observe := func(length time.Duration) estimator.Verdict {
+		now = now.Add(length)
+		return e.Observe(now, []int{0}, [][]float64{d.sample(length)})
+	}
+	for range 10 {
+		require.Equal(t, estimator.VerdictSteady, observe(countInterval))
+	}
+	first := slices.Clone(e.Popularity()[0])
+	e.ExpectShift()
+	require.Equal(t, estimator.VerdictShifted, observe(shiftInterval))
+	require.Equal(t, estimator.VerdictSteady, observe(shiftInterval))
+	require.Less(t, distance(first, e.Popularity()[0]), 0.02, "demand has not shifted")
+	d.shift()
+	e.ExpectShift()
+	require.Equal(t, estimator.VerdictShifted, observe(shiftInterval))
+	require.Equal(t, estimator.VerdictSteady, observe(shiftInterval))
+	require.Greater(t, distance(first, e.Popularity()[0]), 0.1, "demand has shifted")
+}
+
+// distance returns the total variation distance between two distributions.
+func distance(p, q []float64) float64 {
+	sum := 0.0
+	for i := range p {
+		sum += math.Abs(p[i]-q[i]) / 2
+	}
+	return sum
+}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -37,6 +37,8 @@
 	// shiftCountInterval is the time before the counts are read again after demand has shifted: long enough for a sample
 	// of only the new demand, short since the load is uneven meanwhile.
 	shiftCountInterval = 100 * time.Millisecond
+	// shiftCountPasses is the least number of passes in that time.
+	shiftCountPasses = 2
 	// reportLag is the maximum age of the reports of ranks. For this time after a request was served, a report that the
 	// group is closed may be older than the request.
 	reportLag = 500 * time.Millisecond
@@ -429,6 +431,10 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, g := range st.managed {
+		if l.takeSlowed(g.id()) {
+			g.estimator.ExpectShift()
+			g.dueAt = started
+		}
 		if g.dueAt.After(started) {
 			continue
 		}
@@ -444,7 +450,7 @@
 	}
 	wg.Wait()
 	for g, err := range due {
-		g.dueAt = time.Now().Add(min(next, g.countInterval()))
+		g.dueAt = time.Now().Add(min(next, g.countInterval(l.passTime(g.id()))))
 		if err == nil {
 			continue
 		}
@@ -467,14 +473,14 @@
 	return next
 }
 
-// countInterval returns the time before the counts of the group are read again.
-func (g *managedGroup) countInterval() time.Duration {
+// countInterval returns the time before the counts of the group are read again, given the duration of its passes.
+func (g *managedGroup) countInterval(pass time.Duration) time.Duration {
 	if g.isUneven {
 		return unevenCountInterval
 	}
 	switch g.verdict {
 	case estimator.VerdictShifted:
-		return shiftCountInterval
+		return max(shiftCountInterval, shiftCountPasses*pass)
 	case estimator.VerdictFirst, estimator.VerdictIdle:
 		if g.idleMoves <= maxQuickMoves {
 			return firstCountInterval
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -19,6 +19,7 @@
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/mapleader"
 	"currantledge.example/currantledge/internal/version/mapswitcher"
+	"currantledge.example/currantledge/internal/version/timekeeper"
 )
 
 // fakeEngines is a fake of a group of two ranks whose counts are skewed enough for a new map. It accepts every order.
@@ -591,3 +592,31 @@
 		require.Equal(t, []string{"2", "3"}, engines.found[identifier.GroupID{Service: "s", Group: "k"}])
 	})
 }
+
+// Guards against counts that are read up to half a second after the passes of a group have become slower, and against a
+// map that is planned from counts of the demand before and after that.
+func TestCountsAreReadWhenPassesBecomeSlower(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}
+		l := newLeader(newFixture(), engines)
+		stop := startLeader(t, l)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		reads := engines.reads()
+		for engines.reads() == reads {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		reads = engines.reads()
+		id := identifier.GroupID{Service: "s", Group: "g"}
+		l.PassBegan(id, timekeeper.Pass{Took: 50 * time.Millisecond})
+		l.PassBegan(id, timekeeper.Pass{Took: 70 * time.Millisecond, Slowed: true})
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, reads+2, engines.reads(), "two ranks at once")
+		time.Sleep(120 * time.Millisecond)
+		require.Equal(t, reads+2, engines.reads(), "the next sample lasts two passes")
+		time.Sleep(40 * time.Millisecond)
+		require.GreaterOrEqual(t, engines.reads(), reads+4)
+	})
+}
--- a/internal/version/mapleader/passes.go
+++ b/internal/version/mapleader/passes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/version/timekeeper"
 )
 
 // maxPassTime is longer than any usual pass. A group of which no pass was noticed for that long may be idle, or this
@@ -15,13 +16,25 @@
 type passClock struct {
 	beganAt time.Time
 	took    time.Duration
+	// slowed is set if the passes have become slower and the leader does not know it yet.
+	slowed bool
 	// next is closed, and replaced, when a pass begins.
 	next chan struct{}
 }
 
-// PassBegan notifies the leader that a group has begun a pass, after one that took some time. It may be called
-// concurrently.
-func (l *Leader) PassBegan(id identifier.GroupID, took time.Duration) {
+// PassBegan notifies the leader that a group has ended a pass and begins the next one. If the passes have become slower,
+// the counts of the group are read at once. It may be called concurrently.
+func (l *Leader) PassBegan(id identifier.GroupID, ended timekeeper.Pass) {
+	l.notePass(id, ended)
+	if ended.Slowed && l.Leading() {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *Leader) notePass(id identifier.GroupID, ended timekeeper.Pass) {
 	l.passMu.Lock()
 	defer l.passMu.Unlock()
 	p, found := l.passes[id]
@@ -31,7 +44,30 @@
 	} else {
 		close(p.next)
 	}
-	p.beganAt, p.took, p.next = time.Now(), took, make(chan struct{})
+	p.beganAt, p.took, p.next = time.Now(), ended.Took, make(chan struct{})
+	p.slowed = p.slowed || ended.Slowed
+}
+
+// takeSlowed reports whether the passes of a group have become slower since the last call.
+func (l *Leader) takeSlowed(id identifier.GroupID) bool {
+	l.passMu.Lock()
+	defer l.passMu.Unlock()
+	p, found := l.passes[id]
+	if !found || !p.slowed {
+		return false
+	}
+	p.slowed = false
+	return true
+}
+
+// passTime returns how long the latest pass of a group took, or 0 if it is not known.
+func (l *Leader) passTime(id identifier.GroupID) time.Duration {
+	l.passMu.Lock()
+	defer l.passMu.Unlock()
+	if p, found := l.passes[id]; found {
+		return p.took
+	}
+	return 0
 }
 
 // awaitPass waits until a group begins a pass, and returns how long passes take. It returns 0 if no pass is noticed within
--- /dev/null
+++ b/internal/version/timekeeper/timekeeper_test.go
@@ -0,0 +1,69 @@
+package timekeeper_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/version/timekeeper"
+)
+
+// Guards against passes that are missed or counted twice, since the events of a pass reach a gateway one after the other.
+func TestEachPassIsSeenOnce(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(1, 1))
+	k := timekeeper.New()
+	now := time.Unix(1000, 0)
+	const streams, delay = 5, 8 * time.Millisecond
+	var last [streams]time.Time
+	seen, passes := 0, 0
+	for range 200 {
+		took := time.Duration(40+random.IntN(200)) * time.Millisecond
+		now = now.Add(took)
+		passes++
+		for i := range last {
+			at := now.Add(delay * time.Duration(i) / streams)
+			if !last[i].IsZero() {
+				if p, ended := k.Observe(at, at.Sub(last[i]), 10); ended {
+					seen++
+					require.InDelta(t, took.Seconds(), p.Took.Seconds(), delay.Seconds())
+				}
+			}
+			last[i] = at
+		}
+	}
+	require.Equal(t, passes-1, seen)
+}
+
+// passes are the durations, in ms, of passes of a group of 192 ranks around a shift of demand in a trial. The third one
+// follows a read of counts, the sixth began while ranks loaded experts, and the last four are those after the shift.
+var passes = []float64{92, 93, 102, 94, 91, 108, 93, 92, 120, 132, 125, 128}
+
+// Guards against a shift of demand that is noticed with the next sample of counts only, and against one that is seen in
+// passes which a read of counts or a load of experts makes longer, or which more requests make longer.
+func TestSlowerPassesShowAShift(t *testing.T) {
+	t.Parallel()
+	k := timekeeper.New()
+	now := time.Unix(1000, 0)
+	var slowed []int
+	observe := func(i int, ms, load float64) {
+		took := time.Duration(ms * float64(time.Millisecond))
+		now = now.Add(took)
+		p, ended := k.Observe(now, took, load)
+		require.True(t, ended)
+		if p.Slowed {
+			slowed = append(slowed, i)
+		}
+	}
+	for i, ms := range passes {
+		observe(i, ms, 11)
+	}
+	require.Equal(t, []int{9}, slowed, "the second pass after the shift")
+	for i := range 40 {
+		load := 11 + 0.1*float64(i)
+		observe(100+i, 11.5*load, load)
+	}
+	require.Len(t, slowed, 1)
+}
