--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -105,8 +105,10 @@
 	// nodeRowLost and crashRowLost wake the writers of the gateway's own rows after the store was restored.
 	nodeRowLost  chan struct{}
 	crashRowLost chan struct{}
-	// applyMu guards the two fields below; applyRows holds it.
+	// applyMu guards the three fields below; applyRows holds it.
 	applyMu sync.Mutex
+	// invalidRows holds the problems of the rows that were last applied.
+	invalidRows map[string]bool
 	// retainedRows holds the number of retained rows of each table that was last logged.
 	retainedRows map[replicator.Table]int
 	// disprovals is the number of disprovals after which the rows were last applied.
@@ -487,9 +489,7 @@
 	fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
 		g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
 	problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
-	for _, p := range problems {
-		g.log.Event(logger.EventRowInvalid).AnErr("error", p).Send()
-	}
+	g.logInvalidRows(problems)
 	g.fleet.Store(&fleet)
 	g.groups.retain(fleet.Upstreams)
 	g.admitter.SetFleet(time.Now(), fleet)
@@ -506,6 +506,18 @@
 	g.logRetained()
 }
 
+// logInvalidRows logs the problems of rows that the previous tables did not have.
+func (g *gateway) logInvalidRows(problems []error) {
+	current := make(map[string]bool, len(problems))
+	for _, p := range problems {
+		current[p.Error()] = true
+		if !g.invalidRows[p.Error()] {
+			g.log.Event(logger.EventRowInvalid).AnErr("error", p).Send()
+		}
+	}
+	g.invalidRows = current
+}
+
 // tick updates the peers' counts, applies deferred deletions and pulls rows every tickInterval until the context ends.
 func (g *gateway) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
