Answer the requests that a planned stop would cut

A client of a gateway that was stopped in calm got no response, though its request had been read and sent to an upstream: one that came late in the grace period was taken like any other, and all connections were closed at the end of the period. Of requests that waited for a slot then, some got no response either. Requests that may not be repeated were among them.

Cause: the admitter knew of no end, and server.Close was the only one. The class is work that is accepted without regard to the time left for it.

Change: from the signal on, the admitter refuses a request as not run (reason "stopping", short Retry-After) if the mean time of its service and twice the mean deviation end after the stop, unless its own deadline comes first; waiting requests are refused as soon as that holds for them. 0.8 s before the end of the grace period the contexts of the open requests end: waiting ones get 503, those that may have run 502, begun streams break. The first response time of a service replaces the default instead of being averaged with it, since the default would hide it for 10 requests.

A stream that has begun and takes longer than usual is still broken off.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -97,6 +97,9 @@
 	fleet     atomic.Pointer[cataloguer.Fleet]
 	// stopping is closed when the graceful stop begins.
 	stopping chan struct{}
+	// ending is done, by endRequests, when open requests must end because the process is about to exit.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// era is the last known era of the store; only tick uses it.
 	era replicator.Era
 	// pulledRetained is set once the gateway has pulled what its peers retain from before a restoration of the store, or
@@ -164,6 +167,7 @@
 		lastPull:      map[replicator.Table]time.Time{},
 		retainedRows:  map[replicator.Table]int{},
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.log = logger.New(logger.Config{
 		Output:        output,
 		Level:         level,
@@ -683,5 +687,6 @@
 		Log:           g.log,
 		Meter:         g.meter,
 		Stopping:      g.stopping,
+		Ending:        g.ending,
 	})
 }
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -106,11 +106,16 @@
 
 // configure writes a configuration with one route for each path prefix.
 func (d *deployment) configure(version int, prefixes ...string) {
+	d.configureService(version, `{"name":"s","engine":{}}`, prefixes...)
+}
+
+// configureService writes a configuration with a service of other settings.
+func (d *deployment) configureService(version int, service string, prefixes ...string) {
 	var routes []string
 	for _, p := range prefixes {
 		routes = append(routes, fmt.Sprintf(`{"name":"r","host":"h.example","prefix":"%s","kind":"non_idempotent","timeoutMs":4000,"sloMs":200,"service":"s","attempts":1}`, p))
 	}
-	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","engine":{}}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ",")))
+	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, strings.Join(routes, ","), service))
 }
 
 // gateway is one running gateway.
@@ -222,6 +227,17 @@
 }
 
 func (g *gateway) sendWith(t *testing.T, path, id string, header http.Header) (int, string) {
+	t.Helper()
+	return g.sendBy(t, http.DefaultClient, path, id, header)
+}
+
+// sendAlone sends a request on a connection of its own.
+func (g *gateway) sendAlone(t *testing.T, id string) (int, string) {
+	t.Helper()
+	return g.sendBy(t, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, "/a/", id, nil)
+}
+
+func (g *gateway) sendBy(t *testing.T, client *http.Client, path, id string, header http.Header) (int, string) {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+g.clientAddress+path, strings.NewReader("x"))
 	require.NoError(t, err)
@@ -232,7 +248,7 @@
 	for name, values := range header {
 		q.Header[name] = values
 	}
-	r, err := http.DefaultClient.Do(q)
+	r, err := client.Do(q)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -24,6 +24,8 @@
 	rotationDelay = 2500 * time.Millisecond
 	// graceMargin is the part of the platform's grace period that is reserved for the exit of the process itself.
 	graceMargin = 600 * time.Millisecond
+	// finalResponseTime is the time before that for the responses to the requests that are then still open.
+	finalResponseTime = 200 * time.Millisecond
 )
 
 // run opens the listeners and runs all components. When the context ends, it stops them gracefully.
@@ -130,14 +132,19 @@
 	}
 }
 
-// stop takes the gateway out of rotation, then closes each client connection when its request ends, and all remaining
-// ones shortly before the end of the grace period.
+// stop takes the gateway out of rotation, then closes each client connection when its request ends. Requests that would
+// not be complete in time are refused from the beginning, and those that are open shortly before the end of the grace
+// period get a response that says whether they may have run.
 func (g *gateway) stop(ctx context.Context, server *http.Server, l net.Listener, accepted *connections) {
 	started := time.Now()
 	close(g.stopping)
 	g.log.Event(logger.EventStopping).Send()
 	g.gossiper.Broadcast()
 	grace := max(g.settings.Bounds.Grace-graceMargin, 0)
+	ending := started.Add(grace - min(finalResponseTime, grace/4))
+	g.admitter.StopAt(started, ending)
+	endRequests := time.AfterFunc(time.Until(ending), g.endRequests)
+	defer endRequests.Stop()
 	// A short grace period leaves half of its time to the open requests.
 	rotation := time.NewTimer(min(rotationDelay, grace/2))
 	defer rotation.Stop()
--- a/internal/process/gatewayrunner/stop_test.go
+++ b/internal/process/gatewayrunner/stop_test.go
@@ -130,3 +130,60 @@
 	defer r.Body.Close()
 	require.Equal(t, http.StatusOK, r.StatusCode)
 }
+
+// Guards against requests late in a planned stop that run until the connection is cut at the end of the grace period, and
+// against waiting ones that get no response.
+func TestLateRequestsOfAPlannedStopAreAnswered(t *testing.T) {
+	tests := map[string]struct {
+		port int
+		// usual and late are the response times of the upstream before and after the stop has begun.
+		usual, late time.Duration
+		slots       int
+		// lateStatus is that of the requests that the end of the grace period would have cut.
+		lateStatus int
+	}{
+		"known response time":   {port: 17540, usual: 2500 * time.Millisecond, late: 2500 * time.Millisecond, slots: 100, lateStatus: http.StatusServiceUnavailable},
+		"slower than usual":     {port: 17541, usual: 10 * time.Millisecond, late: 3500 * time.Millisecond, slots: 100, lateStatus: http.StatusBadGateway},
+		"waiting for few slots": {port: 17542, usual: 700 * time.Millisecond, late: 700 * time.Millisecond, slots: 1, lateStatus: http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.responseDelay = test.usual
+			d.store.Put("servers", "i-1", fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":%d,"state":"ready"}`, d.upstreamAddress, test.slots))
+			d.configureService(1, `{"name":"s"}`, "/a/")
+			g := d.start(t, "127.0.0.1", test.port, "", d.storeAddress)
+			require.Eventually(t, func() bool { code, _ := g.send(t, "/a/", "first"); return code == http.StatusOK }, timeout, 10*time.Millisecond)
+			var earlier sync.WaitGroup
+			for i := range 12 {
+				earlier.Go(func() { g.sendAlone(t, fmt.Sprint("earlier-", i)) })
+			}
+			earlier.Wait()
+			d.mu.Lock()
+			d.responseDelay = test.late
+			d.mu.Unlock()
+			g.stop()
+			statuses := g.sendDuringStop(t, 21, 100*time.Millisecond)
+			for i, code := range statuses {
+				ran := (&stopClient{deployment: d}).ran(fmt.Sprint("stop-", i))
+				require.Contains(t, []int{http.StatusOK, test.lateStatus}, code, "request %d of %v", i, statuses)
+				require.Equal(t, code != http.StatusServiceUnavailable, ran, "request %d", i)
+			}
+			require.Contains(t, statuses, test.lateStatus)
+		})
+	}
+}
+
+// sendDuringStop sends requests in turn, on connections of their own, and returns the status codes of their responses.
+func (g *gateway) sendDuringStop(t *testing.T, requests int, interval time.Duration) []int {
+	t.Helper()
+	statuses := make([]int, requests)
+	var running sync.WaitGroup
+	for i := range requests {
+		running.Go(func() { statuses[i], _ = g.sendAlone(t, fmt.Sprint("stop-", i)) })
+		time.Sleep(interval)
+	}
+	running.Wait()
+	return statuses
+}
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -67,6 +67,8 @@
 	failureHalfLife = 3 * time.Second
 	// latencySmoothing is the weight of the latest sample in the moving averages of response times.
 	latencySmoothing = 0.2
+	// deviationFactor is the number of mean deviations by which few requests exceed the usual time of their service.
+	deviationFactor = 2
 	// defaultServiceTime is the expected duration of a request before the first one was observed.
 	defaultServiceTime = 100 * time.Millisecond
 	// sampledUpstreams is the number of upstreams that are compared while other gateways choose as well. Two to four
@@ -85,8 +87,10 @@
 // service is the state of a service as this gateway knows it.
 type service struct {
 	cataloguer.Service
-	// serviceTime is the moving average of the time from sending a request to the end of its response.
-	serviceTime time.Duration
+	// serviceTime is the moving average of the time from sending a request to the end of its response, and timeDeviation
+	// that of its distance from the average.
+	serviceTime   time.Duration
+	timeDeviation time.Duration
 	// queue holds the waiting requests; sortQueue orders it.
 	queue []*Ticket
 	// groups holds the groups of the service's upstreams. A plain service has one, which is always open.
@@ -125,6 +129,8 @@
 	upstreams map[identifier.Upstream]*upstream
 	// ordered holds the upstreams by id.
 	ordered  []*upstream
+	// stopsAt is when all requests of the gateway must be complete, or zero while it does not stop.
+	stopsAt  time.Time
 	services map[identifier.Service]*service
 	limiter  *limiter.Limiter
 	pauser   *pauser.Pauser
@@ -245,6 +251,15 @@
 	a.dispatch(now)
 }
 
+// StopAt announces that all requests must be complete at a time, since the gateway then stops. Requests for which the usual
+// time of their service does not suffice are refused from then on.
+func (a *Admitter) StopAt(now, end time.Time) {
+	a.mu.Lock()
+	defer a.unlock()
+	a.stopsAt = end
+	a.dispatch(now)
+}
+
 // Running returns the number of requests that this gateway runs on each upstream. Upstreams without requests are
 // omitted.
 func (a *Admitter) Running() map[identifier.Upstream]int {
@@ -268,6 +283,10 @@
 	t := &Ticket{request: request, arrived: now, serial: a.serial, decided: make(chan Decision, 1)}
 	s := a.service(request.Service)
 	s.demand.record(now)
+	if a.isTooLate(now, s, t) {
+		t.resolve(newRefused(now, t, ReasonStopping, minRetryAfter))
+		return t
+	}
 	at := s.insertPosition(now, t)
 	if !slices.ContainsFunc(s.queue[:at], func(ahead *Ticket) bool { return !ahead.isIsolated() }) && a.grant(now, s, t) {
 		return t
@@ -351,7 +370,7 @@
 		u.backoff = 0
 		u.recordFailures(now, 0)
 		u.firstByte = smooth(u.firstByte, r.FirstByte)
-		s.serviceTime = smooth(s.serviceTime, r.Total)
+		s.recordTime(r.Total)
 		u.recordClosing(now, r.Closing)
 	case Failed:
 		u.recordFailures(now, 1)
@@ -375,6 +394,16 @@
 	a.dispatch(now)
 }
 
+// recordTime records the time from sending a request to the end of its response.
+func (s *service) recordTime(total time.Duration) {
+	if s.timeDeviation == 0 {
+		s.serviceTime, s.timeDeviation = total, total/2
+		return
+	}
+	s.timeDeviation = smooth(s.timeDeviation, (total - s.serviceTime).Abs())
+	s.serviceTime = smooth(s.serviceTime, total)
+}
+
 // service returns the state of a service and creates it if the service is new.
 func (a *Admitter) service(name identifier.Service) *service {
 	s, found := a.services[name]
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -635,3 +635,26 @@
 	}
 	require.Len(t, chosen, 1)
 }
+
+// Guards against requests that a stopping gateway starts although they usually take longer than it has left, against a
+// refusal of those that will be complete, and against one of requests that end earlier in any case.
+func TestRequestsAreRefusedThatWouldOutlastTheStop(t *testing.T) {
+	t.Parallel()
+	f := newFixture(upstream("x", shop, 1))
+	for i := range 20 {
+		f.Done(start, requireGranted(t, f.Submit(start, request(shop, start))), admitter.Served{Total: time.Duration(1800+400*(i%2)) * time.Millisecond})
+	}
+	running := requireGranted(t, f.Submit(start, request(shop, start)))
+	f.StopAt(start, start.Add(4*time.Second))
+	waiting := f.Submit(start, request(shop, start))
+	require.Nil(t, decision(waiting))
+	late := start.Add(1650 * time.Millisecond)
+	f.Tick(late)
+	require.Equal(t, admitter.ReasonStopping, requireRefused(t, waiting).Reason)
+	f.Done(late, running, admitter.Served{Total: 2 * time.Second})
+	refused := requireRefused(t, f.Submit(late, request(shop, late)))
+	require.Equal(t, admitter.Refused{Reason: admitter.ReasonStopping, RetryAfter: 100 * time.Millisecond}, refused)
+	short := request(shop, late)
+	short.Deadline = late.Add(2 * time.Second)
+	requireGranted(t, f.Submit(late, short))
+}
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -22,6 +22,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonPaused means that all upstreams of the service have asked for pauses which end too late for the request.
 	ReasonPaused Reason = "paused"
+	// ReasonStopping means that the gateway stops before the request would be complete.
+	ReasonStopping Reason = "stopping"
 	// ReasonEvacuated is unused: upstreams of an evacuated failure domain count as missing, see ReasonNoUpstream.
 	ReasonEvacuated Reason = "evacuated"
 )
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -43,6 +43,10 @@
 		kept := s.queue[:0]
 		blocked := false
 		for _, t := range s.queue {
+			if a.isTooLate(now, s, t) {
+				t.resolve(newRefused(now, t, ReasonStopping, minRetryAfter))
+				continue
+			}
 			if !blocked {
 				if a.grant(now, s, t) {
 					continue
@@ -190,6 +194,16 @@
 	return Refused{}, false
 }
 
+// isTooLate reports whether the gateway is likely to stop before a request that starts now is complete. Of a request that
+// has to end earlier in any case, the client gets a response in time.
+func (a *Admitter) isTooLate(now time.Time, s *service, t *Ticket) bool {
+	if a.stopsAt.IsZero() {
+		return false
+	}
+	end := now.Add(s.serviceTime + deviationFactor*s.timeDeviation)
+	return end.After(a.stopsAt) && t.request.Deadline.After(a.stopsAt)
+}
+
 // ahead returns the number of queued requests that precede one.
 func (a *Admitter) ahead(s *service, t *Ticket) int {
 	return max(slices.Index(s.queue, t), 0)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -157,6 +157,9 @@
 	case clientCtx.Err() != nil:
 		out.feedback, out.detail = admitter.Cancelled{}, "client left"
 		out.unsent = errors.Is(err, requester.ErrNotSent)
+	case f.cfg.Ending.Err() != nil:
+		out.feedback, out.detail = admitter.Cancelled{}, "the gateway stops"
+		out.unsent = errors.Is(err, requester.ErrNotSent)
 	case !time.Now().Before(c.deadline):
 		out.feedback, out.detail = admitter.Cancelled{}, "deadline passed"
 		out.unsent = errors.Is(err, requester.ErrNotSent)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -97,6 +97,9 @@
 	Meter         *meter.Meter
 	// Stopping is closed when the process begins to stop. Responses then close their connections.
 	Stopping <-chan struct{}
+	// Ending is done shortly before the process exits. Open requests then end: those without a response yet get one that
+	// says whether they may have run. Nil means never.
+	Ending context.Context
 }
 
 // Forwarder is the HTTP handler for clients.
@@ -121,6 +124,9 @@
 	if cfg.OnLimitChange == nil {
 		cfg.OnLimitChange = func(identifier.Upstream) {}
 	}
+	if cfg.Ending == nil {
+		cfg.Ending = context.Background()
+	}
 	if cfg.SharedParts == nil {
 		cfg.SharedParts = func(http.Header) []identifier.PromptPart { return nil }
 	}
@@ -200,12 +206,41 @@
 	}
 	f.setDeadlines(c, r)
 	c.prompt.Request = requestPart(c, r)
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := f.requestContext(r.Context(), c.deadline)
 	defer cancel()
 	f.cfg.Budgeter.RecordRequest(c.arrived, c.service)
 	f.serve(ctx, w, r, c)
 }
 
+// errStopping is the cause with which the contexts of open requests end before the process exits.
+var errStopping = errors.New("the process stops")
+
+// requestContext returns the context of a request, which ends with that of the client, at the deadline and with Ending.
+func (f *Forwarder) requestContext(clientCtx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	deadlineCtx, cancelDeadline := context.WithDeadline(clientCtx, deadline)
+	ctx, cancel := context.WithCancelCause(deadlineCtx)
+	forget := context.AfterFunc(f.cfg.Ending, func() { cancel(errStopping) })
+	return ctx, func() {
+		forget()
+		cancel(nil)
+		cancelDeadline()
+	}
+}
+
+// hasClientLeft reports whether the context of a request has ended since the client closed the connection.
+func hasClientLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStopping)
+}
+
+// refusedAtEnd returns the refusal of a request whose context has ended before it ran.
+func refusedAtEnd(ctx context.Context) admitter.Refused {
+	reason := admitter.ReasonDeadline
+	if errors.Is(context.Cause(ctx), errStopping) {
+		reason = admitter.ReasonStopping
+	}
+	return admitter.Refused{Reason: reason, RetryAfter: defaultRetryAfter}
+}
+
 // resolve sets the route, the customer and the service of a request. It returns the status and the text of a rejection,
 // or no text if the request is accepted.
 func (f *Forwarder) resolve(catalogue *cataloguer.Catalogue, c *call, r *http.Request) (int, string) {
@@ -299,7 +334,7 @@
 // upstream, each further one needs a retry from the budget.
 func (f *Forwarder) admit(ctx context.Context, c *call) admitter.Decision {
 	if ctx.Err() != nil {
-		return admitter.Refused{Reason: admitter.ReasonDeadline}
+		return refusedAtEnd(ctx)
 	}
 	if c.unsent >= maxUnsentAttempts {
 		return admitter.Refused{Reason: admitter.ReasonNoUpstream, RetryAfter: defaultRetryAfter}
@@ -328,7 +363,7 @@
 		return f.screenAgain(c, d)
 	case <-ctx.Done():
 		f.cfg.Admitter.Withdraw(time.Now(), ticket)
-		return admitter.Refused{Reason: admitter.ReasonDeadline}
+		return refusedAtEnd(ctx)
 	}
 }
 
@@ -366,10 +401,10 @@
 	case result.complete:
 		f.cfg.Meter.Increment(meter.GatewayServed)
 		return true
-	case result.clientLeft, errors.Is(ctx.Err(), context.Canceled):
+	case result.clientLeft, hasClientLeft(ctx):
 		f.finishCancelled(c)
 	case ctx.Err() != nil:
-		f.finishRefused(ctx, s.writer, c, s, admitter.Refused{Reason: admitter.ReasonDeadline, RetryAfter: defaultRetryAfter})
+		f.finishRefused(ctx, s.writer, c, s, refusedAtEnd(ctx))
 		return true
 	case s.started && c.route.Retry != cataloguer.RetryResume:
 		f.finishFailed(ctx, s, c, "response broke and may not be resumed")
@@ -389,7 +424,7 @@
 
 // finishRefused ends a request that the admitter or the retry budget refused.
 func (f *Forwarder) finishRefused(ctx context.Context, w http.ResponseWriter, c *call, s *stream, d admitter.Refused) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if hasClientLeft(ctx) {
 		f.finishCancelled(c)
 	}
 	if c.runs > 0 || s.started {
