Accept all established connections before the listener closes

Their requests had not run, but they got no response.

Cause: the kernel resets the connections in the accept queue when a listener is closed, and a busy process accepts them late. A socket filter that drops new SYN segments was ruled out: it is not supported on all kernels that we run on.

Change: the stop interrupts Accept with a deadline, accepts all established connections, and closes the socket, which is then the last use of it. The server gets the accepted connections from Accept before it ends.

A connection that is established between the last accept and the close is still reset.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -668,8 +668,12 @@
 	})
 }
 
-func (g *gateway) listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func (g *gateway) listen(address string) (*net.TCPListener, error) {
+	tcpAddress, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "resolve %s", address)
+	}
+	l, err := net.ListenTCP("tcp", tcpAddress)
 	return l, errors.Wrapf(err, "listen on %s", address)
 }
 
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -46,7 +46,7 @@
 	actorCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group := supervisor.New(actorCtx)
-	group.Add(g.serveClients(ctx, clientListener))
+	group.Add(g.serveClients(ctx, newDrainingListener(clientListener)))
 	group.Add(supervisor.HTTP(readyListener, http.HandlerFunc(g.serveReady)))
 	group.Add(supervisor.HTTP(controlListener, g.controlHandler()))
 	group.Add(g.gossiper.Run)
@@ -101,7 +101,7 @@
 
 // serveClients returns an actor that serves clients until stopCtx ends, then completes the open requests within the grace
 // period.
-func (g *gateway) serveClients(stopCtx context.Context, l net.Listener) supervisor.Actor {
+func (g *gateway) serveClients(stopCtx context.Context, l *drainingListener) supervisor.Actor {
 	return func(ctx context.Context) error {
 		accepted := newConnections()
 		server := &http.Server{
@@ -135,7 +135,7 @@
 // stop takes the gateway out of rotation, then closes each client connection when its request ends. Requests that would
 // not be complete in time are refused from the beginning, and those that are open shortly before the end of the grace
 // period get a response that says whether they may have run.
-func (g *gateway) stop(ctx context.Context, server *http.Server, l net.Listener, accepted *connections) {
+func (g *gateway) stop(ctx context.Context, server *http.Server, l *drainingListener, accepted *connections) {
 	started := time.Now()
 	close(g.stopping)
 	g.log.Event(logger.EventStopping).Send()
@@ -152,9 +152,11 @@
 	case <-ctx.Done():
 	case <-rotation.C:
 	}
+	if err := l.Drain(); err != nil {
+		g.log.Event(logger.EventListenerNotDrained).AnErr("error", err).Send()
+	}
 	// net/http closes connections without a response if it has not called the handler of their first request when its
 	// shutdown starts.
-	_ = l.Close()
 	accepted.waitForRequests(ctx, min(maxFirstRequestWait, grace/4))
 	deadline := started.Add(grace)
 	shutdownCtx, cancel := context.WithDeadline(ctx, deadline)
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -81,6 +81,7 @@
 	EventRowsRetained         Event = 738
 	EventUpstreamNotice       Event = 739
 	EventRequestsWait         Event = 740
+	EventListenerNotDrained   Event = 741
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -155,6 +156,7 @@
 	EventRowsRetained:         {zerolog.InfoLevel, "rows retained from before the restoration"},
 	EventUpstreamNotice:       {zerolog.InfoLevel, "upstream wants no requests or accepts them again"},
 	EventRequestsWait:         {zerolog.InfoLevel, "requests wait for upstreams"},
+	EventListenerNotDrained:   {zerolog.WarnLevel, "established connections were not accepted"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
