Limit the requests on a group to those that it serves on time

Cause: a group serves a pass of all requests in a time that grows with their number. Above some number, all gaps exceed the target of the routes, streams hold their slots for longer, and the group stays in that state although demand is below what it can serve. Nothing limited that number but the slots, and late requests were held back by a reserve of 6 in 100 slots of each gateway, which is less than one slot if it has 8 of 1,152.

Change: the timekeeper remembers how long passes took for their load, and the admitter starts no more requests on a group than keep the gaps within the least gap target of the service's routes. Gateways share that capacity as they share the free slots. Late requests start within what the others leave of it. Right after an opening, a quarter of the slots is used until the first pass.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -5,6 +5,8 @@
 //     served in time are refused at once with a Retry-After.
 //   - A group opens and every gateway has a backlog: the requests that wait for their first byte are limited, free slots
 //     are divided among the gateways, and some slots are reserved for requests that can still be on time.
+//   - More requests run on a group than it can serve on time: fewer are started, until the gaps between the events of
+//     streams are within the targets of their routes.
 //   - Upstreams name rate limits: the gateways divide them by their demand.
 //   - Upstreams fail, slow down or start cold: other upstreams are preferred.
 //
@@ -95,6 +97,8 @@
 	queue []*Ticket
 	// groups holds the groups of the service's upstreams. A plain service has one, which is always open.
 	groups map[identifier.ModelGroup]*group
+	// gapTarget is the least gap target of the routes to the service, or 0.
+	gapTarget time.Duration
 	// demand is the rate of requests at this gateway, and peerDemand that at others.
 	demand     demand
 	peerDemand peerDemand
@@ -128,7 +132,7 @@
 	evacuated map[identifier.FailureDomain]bool
 	upstreams map[identifier.Upstream]*upstream
 	// ordered holds the upstreams by id.
-	ordered  []*upstream
+	ordered []*upstream
 	// stopsAt is when all requests of the gateway must be complete, or zero while it does not stop.
 	stopsAt  time.Time
 	services map[identifier.Service]*service
@@ -185,7 +189,8 @@
 	a.evacuated = fleet.Evacuated
 	if fleet.Catalogue != nil {
 		for _, s := range fleet.Catalogue.Services() {
-			a.service(s.Name).Service = s
+			known := a.service(s.Name)
+			known.Service, known.gapTarget = s, fleet.Catalogue.GapTarget(s.Name)
 		}
 	}
 	present := make(map[identifier.Upstream]bool, len(fleet.Upstreams))
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// allotInterval is the shortest time between two allotments. The counts of peers may be this old, so the free slots that
@@ -9,34 +12,39 @@
 	// minShareDivisor sets the number of slots that a gateway may always use: an equal share of all slots, divided by this
 	// number. With it, a gateway whose clients arrive late gets slots while the others are busy.
 	minShareDivisor = 4
-	// onTimeReserve is the share of the slots that late requests leave to those that can still be on time. A request
+	// onTimeReserve is the share of the capacity that late requests leave to those that can still be on time. A request
 	// holds its slot for seconds: without a reserve, a request that can be on time waits too long for the next free slot
-	// while the backlog of an outage is served. Ranks with fewer requests are faster, so the reserve costs little
-	// throughput.
-	onTimeReserve = 0.06
+	// while the backlog of an outage is served.
+	onTimeReserve = 0.1
+	// lateDivisor is the number of allotments over which the capacity for late requests is spread, if there are other
+	// gateways: the counts of those in other failure domains are several allotments old.
+	lateDivisor = 3
+	// minCapacity is the share of the slots that is used in any case, and until the first pass of a group that has opened.
+	minCapacity = 0.25
 )
 
 // allotment limits the requests that this gateway runs at a group. Near saturation all gateways see the same few free
 // slots, some hundred milliseconds late; if each gateway took all of them, ranks would receive several times what they
 // can run. A gateway may refill the slots that its own requests free. Of the free slots of each rank it takes a share
-// equal to its share of the running requests, but at least that of one gateway.
+// equal to its share of the running requests, but at least that of one gateway, and none beyond the capacity of the group.
 type allotment struct {
 	// limit is the number of requests that the gateway may run, over all ranks.
 	limit int
-	// freeShare is the share of the slots that no gateway uses.
-	freeShare float64
+	// late is the number of late requests that may still start before the next allotment. They start only within the capacity
+	// that requests which can be on time leave free: a gateway has few slots when it is one of many, so a reserve of its own
+	// would be less than a slot.
+	late int
 	// computedAt is zero until the first allotment since the group opened.
 	computedAt time.Time
 }
 
-// allows reports whether one more request may run beside the running ones. It limits only late requests, and none before
-// the first allotment or without running requests. Requests that can be on time are limited only by the limit of each
-// rank.
+// allows reports whether one more request may run beside the running ones. It allows any before the first allotment, and
+// any without running requests.
 func (l *allotment) allows(running int, late bool) bool {
-	if !late || l.computedAt.IsZero() || running == 0 {
+	if l.computedAt.IsZero() || running == 0 {
 		return true
 	}
-	return float64(running+1) <= float64(l.limit)*(1-onTimeReserve) && l.freeShare > onTimeReserve
+	return running < l.limit && (!late || l.late > 0)
 }
 
 // allot recomputes the allotment of a group from the counts of peers, at most once per allotInterval.
@@ -45,33 +53,86 @@
 		return
 	}
 	var usable []*upstream
-	total, own, peers := 0, 0, 0
-	for _, u := range a.upstreams {
+	slots, usableSlots, free, own, peers, elsewhere := 0, 0, 0, 0, 0, 0
+	for _, u := range a.ordered {
 		if u.group != g {
 			continue
 		}
-		own += u.running
-		peers += u.peerRunning
 		u.limit = 0
-		if a.usable(u) && a.pauser.Allows(now, u.ID) {
-			usable = append(usable, u)
-			total += a.usableSlots(s, u)
+		if !a.usable(u) || !a.pauser.Allows(now, u.ID) {
+			elsewhere += u.running
+			continue
 		}
+		usable = append(usable, u)
+		own += u.running
+		peers += u.peerRunning
+		slots += u.Slots
+		usableSlots += a.usableSlots(s, u)
+		free += u.freeSlots()
+	}
+	g.allotment = allotment{computedAt: now}
+	if len(usable) == 0 {
+		return
 	}
-	g.load = float64(own+peers) / float64(max(len(usable), 1))
+	running := float64(own + peers)
+	g.load = running / float64(len(usable))
+	capacity := s.capacity(g, slots, len(usable))
 	share := 1 / float64(a.gateways)
-	if running := own + peers; running > 0 {
-		share = max(share, float64(own)/float64(running))
+	if running > 0 {
+		share = max(share, float64(own)/running)
 	}
+	// Beyond the capacity, no free slots are used, and each gateway reduces its requests in proportion.
+	used := max(0, min(1, (capacity-running)/float64(max(free, 1))))
 	limit := 0
 	for _, u := range usable {
-		free := max(u.Slots-u.running-u.peerRunning, 0)
-		u.limit = u.running + int(share*float64(free)+a.cfg.Draw())
+		u.limit = u.running + a.round(share*used*float64(u.freeSlots()))
 		limit += u.limit
 	}
-	minLimit := max(total/a.gateways/minShareDivisor, 1)
-	for ; limit < minLimit && len(usable) > 0; limit++ {
-		usable[int(a.cfg.Draw()*float64(len(usable)))].limit++
+	if running > capacity {
+		limit = a.round(float64(own) * capacity / running)
+	}
+	if missing := max(int(capacity)/a.gateways/minShareDivisor, 1) - limit; missing > 0 {
+		a.raiseLimits(usable, missing)
+		limit += missing
+	}
+	late := max(0, min(capacity, float64(usableSlots))*(1-onTimeReserve)-running) * share
+	if a.gateways > 1 {
+		late /= lateDivisor
 	}
-	g.allotment = allotment{limit: limit, freeShare: float64(total-own-peers) / float64(max(total, 1)), computedAt: now}
+	g.allotment.limit, g.allotment.late = limit+elsewhere, a.round(late)
+}
+
+// raiseLimits spreads a number of slots over upstreams, from a random one on.
+func (a *Admitter) raiseLimits(upstreams []*upstream, slots int) {
+	first := int(a.cfg.Draw() * float64(len(upstreams)))
+	for i := range upstreams {
+		extra := slots / len(upstreams)
+		if i < slots%len(upstreams) {
+			extra++
+		}
+		upstreams[(first+i)%len(upstreams)].limit += extra
+	}
+}
+
+// capacity returns the number of requests that may run on a group, over all gateways: as many as the ranks have slots, or
+// fewer if the gaps between the events of streams would exceed their target.
+func (s *service) capacity(g *group, slots, ranks int) float64 {
+	if s.gapTarget <= 0 {
+		return float64(slots)
+	}
+	base, perRank := s.baseLoad(), float64(slots)/float64(ranks)
+	load, known := g.timekeeper.MaxLoad(s.gapTarget, base+minCapacity*perRank)
+	switch {
+	case known:
+		return float64(ranks) * min(load-base, perRank)
+	case !g.openedAt.IsZero() && !g.hasPassed:
+		return minCapacity * float64(slots)
+	default:
+		return float64(slots)
+	}
+}
+
+// round rounds a number up or down at random, so that the mean over many gateways is kept.
+func (a *Admitter) round(x float64) int {
+	return int(math.Floor(x + a.cfg.Draw()))
 }
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -63,6 +63,8 @@
 	timekeeper     *timekeeper.Timekeeper
 	// load is the mean number of requests that run on a rank, over all gateways.
 	load float64
+	// hasPassed is set once the streams of this gateway have shown a pass since the group opened.
+	hasPassed bool
 }
 
 // newGroup returns a group that is open, or one in the state of the group to which its ranks belonged before.
@@ -148,6 +150,7 @@
 	if !ended {
 		return
 	}
+	u.group.hasPassed = true
 	id := identifier.GroupID{Service: u.Service, Group: u.group.name}
 	a.pendingNotifications = append(a.pendingNotifications, func() { a.cfg.OnPass(id, pass) })
 }
@@ -240,6 +243,7 @@
 	g.openedAt = now
 	g.window.reset()
 	g.timekeeper.Reset()
+	g.hasPassed = false
 	g.allotment = allotment{}
 	a.allot(now, s, g)
 	closedFor := now.Sub(g.closedSince)
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -99,6 +99,7 @@
 	best.group.running++
 	late := t.lateness(now) > 0
 	if late {
+		best.group.allotment.late--
 		best.runningLate++
 		best.group.runningLate++
 	}
@@ -120,7 +121,7 @@
 	if s.Engine != nil && t.request.Stream && !g.window.allows(a.startShare(g)) {
 		return false
 	}
-	return g.allotment.allows(g.running, t.lateness(now) > 0)
+	return g.closed || g.allotment.allows(g.running, t.lateness(now) > 0)
 }
 
 // chooseProbed returns the upstream of a closed group that the request is to probe, or nil. The group that was not probed
--- a/internal/request/admitter/upstream.go
+++ b/internal/request/admitter/upstream.go
@@ -80,6 +80,11 @@
 	return u.failures * math.Exp2(-halfLives)
 }
 
+// freeSlots returns the number of slots that no gateway is known to use.
+func (u *upstream) freeSlots() int {
+	return max(u.Slots-u.running-u.peerRunning, 0)
+}
+
 func (u *upstream) isLeaving() bool {
 	return !u.leavingSince.IsZero()
 }
--- a/internal/version/cataloguer/cataloguer.go
+++ b/internal/version/cataloguer/cataloguer.go
@@ -208,6 +208,24 @@
 	return out
 }
 
+// GapTarget returns the least gap target of the routes to a service, or 0 if none has one.
+func (c *Catalogue) GapTarget(name identifier.Service) time.Duration {
+	least := time.Duration(0)
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			if r.GapTarget > 0 && (least == 0 || r.GapTarget < least) && r.serves(name) {
+				least = r.GapTarget
+			}
+		}
+	}
+	return least
+}
+
+// serves reports whether the route sends requests to a service.
+func (r Route) serves(name identifier.Service) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == name })
+}
+
 // Authenticate returns the customer that owns an API key, and whether a request with this key may use the route. Public
 // routes, and configurations without keys, need no key.
 func (c *Catalogue) Authenticate(r Route, key string) (Customer, bool) {
--- a/internal/version/timekeeper/timekeeper.go
+++ b/internal/version/timekeeper/timekeeper.go
@@ -2,13 +2,20 @@
 // ranks of a group advance together: each pass yields one event of every stream, so that the streams of a gateway show
 // when passes begin and how long they take, at all ranks.
 //
+// Passes take longer the more requests run. Beyond some number, the gaps between the events of all streams exceed the gap
+// targets of their routes, however early they started, while fewer at a time would be on time. Since slow streams also
+// run for longer, a group stays in that state after an outage or a burst until demand falls far below what it can serve.
+//
 // Passes that become slower at once although the ranks run no more requests show that demand has shifted to other
 // experts, a second or more before samples of the ranks' counts do.
 //
 // The package does no I/O and reads no clock: callers pass the current time. Its types are not safe for concurrent use.
 package timekeeper
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// slowFactor is how much longer than usual, for the same load, passes are that count as slow. Reading counts and loading
@@ -16,8 +23,16 @@
 	slowFactor = 1.25
 	// slowPasses is the number of slow passes in a row after which the group has become slower.
 	slowPasses = 2
-	// smoothing is the weight of the latest pass in the moving average of the usual ones.
-	smoothing = 0.2
+	// smoothing is the weight of the latest pass in the moving average of the usual ones, and recentSmoothing that in the
+	// moving average of the recent ones.
+	smoothing       = 0.2
+	recentSmoothing = 0.4
+	// historyLength is the number of passes that are remembered, and slowQuantile the share of them that the duration
+	// allowed for does not exceed: demand shifts every few seconds, and passes are slow until the map has followed.
+	historyLength = 64
+	slowQuantile  = 0.8
+	// headroom is the part of a gap target that passes may take, since single ones take longer.
+	headroom = 0.95
 )
 
 // Pass is a pass of a group that has just ended, at which the next one begins.
@@ -35,6 +50,11 @@
 	// slow passes since the last usual one.
 	usual float64
 	slow  int
+	// recent is the moving average of the seconds that recent passes took for each unit of load, or 0. history holds those
+	// of the last historyLength passes, also of earlier formations of the group, and slowest their slowQuantile.
+	recent  float64
+	history []float64
+	slowest float64
 }
 
 // New returns a Timekeeper that has seen no pass.
@@ -50,7 +70,31 @@
 		return Pass{}, false
 	}
 	t.endedAt = now
-	return Pass{Took: gap, Slowed: t.hasSlowed(gap.Seconds() / load)}, true
+	pace := gap.Seconds() / load
+	t.record(pace)
+	return Pass{Took: gap, Slowed: t.hasSlowed(pace)}, true
+}
+
+func (t *Timekeeper) record(pace float64) {
+	if t.recent == 0 {
+		t.recent = pace
+	}
+	t.recent += recentSmoothing * (pace - t.recent)
+	if len(t.history) == historyLength {
+		t.history = t.history[1:]
+	}
+	t.history = append(t.history, pace)
+	sorted := slices.Sorted(slices.Values(t.history))
+	t.slowest = sorted[int(slowQuantile*float64(len(sorted)-1))]
+}
+
+// MaxLoad returns the load up to which gaps stay within a target, and at least leastLoad. It returns false if that is not
+// known, or if passes with leastLoad exceed the target as well, so that no limit would help.
+func (t *Timekeeper) MaxLoad(target time.Duration, leastLoad float64) (float64, bool) {
+	if t.recent == 0 || target <= 0 || leastLoad*t.slowest > target.Seconds() {
+		return 0, false
+	}
+	return max(headroom*target.Seconds()/max(t.recent, t.slowest), leastLoad), true
 }
 
 func (t *Timekeeper) hasSlowed(pace float64) bool {
@@ -71,7 +115,7 @@
 	return false
 }
 
-// Reset forgets the usual duration of passes, for a group that has formed again.
+// Reset forgets the current duration of passes, for a group that has formed again.
 func (t *Timekeeper) Reset() {
-	t.usual, t.slow = 0, 0
+	t.usual, t.slow, t.recent = 0, 0, 0
 }
--- a/internal/version/timekeeper/timekeeper_test.go
+++ b/internal/version/timekeeper/timekeeper_test.go
@@ -67,3 +67,42 @@
 	}
 	require.Len(t, slowed, 1)
 }
+
+// Guards against a limit that lets gaps exceed their target while demand shifts, against one that no longer applies once
+// demand is steady, and against one where fewer requests would not help.
+func TestMaxLoadKeepsGapsWithinTheirTarget(t *testing.T) {
+	t.Parallel()
+	const target, leastLoad = 150 * time.Millisecond, 11.0
+	k := timekeeper.New()
+	now := time.Unix(1000, 0)
+	observe := func(passes int, load, msPerLoad float64) {
+		for range passes {
+			took := time.Duration(load * msPerLoad * float64(time.Millisecond))
+			now = now.Add(took)
+			_, ended := k.Observe(now, took, load)
+			require.True(t, ended)
+		}
+	}
+	_, known := k.MaxLoad(target, leastLoad)
+	require.False(t, known, "no pass yet")
+	for range 4 {
+		observe(12, 15, 8)
+		observe(4, 15, 11)
+	}
+	most, known := k.MaxLoad(target, leastLoad)
+	require.True(t, known)
+	require.InDelta(t, 0.95*150/11, most, 0.01, "the pace while the map follows a shift")
+	observe(64, 15, 8)
+	most, _ = k.MaxLoad(target, leastLoad)
+	require.InDelta(t, 0.95*150/8, most, 0.01)
+	observe(8, 15, 12)
+	most, _ = k.MaxLoad(target, leastLoad)
+	require.InDelta(t, 0.95*150/12, most, 0.1, "recent passes are slower than the others")
+	_, known = k.MaxLoad(target, 18)
+	require.True(t, known)
+	observe(64, 15, 14)
+	_, known = k.MaxLoad(target, leastLoad)
+	require.False(t, known, "passes with the least load exceed the target as well")
+	_, known = k.MaxLoad(0, leastLoad)
+	require.False(t, known)
+}
