Continue a stream only with events of the same kind of response

A client whose resumable stream had begun and broken off found the text of the next upstream's error in the middle of its stream, or the stream ended as if it were complete.

Cause: the result of a later attempt was judged as if nothing had been sent to the client. A status from 300 to 499 was written after the events, 204, 206, an empty and an unframed response ended the stream, and a large error response that broke was continued with the events of another upstream. The class is a decision that ignores what the client already has.

Change: a response to a resumed attempt is forwarded only if its status and media type are those of the head that the client has, its body is framed and it holds an event; otherwise the attempt has failed. Only a response of events is resumed.

A stream that broke after its last event, whose rest is empty, is now broken off, and its client resumes it.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -242,6 +242,9 @@
 	case got.Header.Get(n.Stamp) == "" && got.Status < http.StatusMultipleChoices:
 		return attemptResult{feedback: admitter.Failed{}, detail: "answer has no signature"}
 	}
+	if s.started && !s.isContinuedBy(got) {
+		return attemptResult{feedback: admitter.Failed{}, detail: "answer with status " + strconv.Itoa(got.Status) + " does not continue the stream"}
+	}
 	if c.route.Stream && got.Status < http.StatusMultipleChoices {
 		return f.receiveStream(clientCtx, c, s, got, sent)
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -406,7 +406,7 @@
 	case ctx.Err() != nil:
 		f.finishRefused(ctx, s.writer, c, s, refusedAtEnd(ctx))
 		return true
-	case s.started && c.route.Retry != cataloguer.RetryResume:
+	case s.started && (c.route.Retry != cataloguer.RetryResume || !s.hasEvents):
 		f.finishFailed(ctx, s, c, "response broke and may not be resumed")
 	case c.runs > 0 && c.route.Retry == cataloguer.RetryNever, c.runs >= c.route.Attempts:
 		f.finishFailed(ctx, s, c, "upstream failed")
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -24,6 +25,11 @@
 	names  HeaderNames
 	// started is set once the client has received the head of the response.
 	started bool
+	// status and mediaType are those of the head that the client received.
+	status    int
+	mediaType string
+	// hasEvents is set if the response that the client receives consists of events.
+	hasEvents bool
 	// lastEventID is the id of the last event that the client received, or empty.
 	lastEventID string
 	// stopResponseTimer stops the timer that cancels an attempt whose response does not arrive in time; nil if no attempt
@@ -61,11 +67,27 @@
 	}
 	copyHeader(s.writer.Header(), header)
 	s.writer.WriteHeader(status)
-	s.started = true
+	s.started, s.status, s.mediaType = true, status, mediaType(header)
+}
+
+// isContinuedBy reports whether a response to a later attempt may be the rest of the stream that the client receives. A
+// body that is not framed may end anywhere.
+func (s *stream) isContinuedBy(got *requester.Response) bool {
+	return got.Framed && got.Status == s.status && mediaType(got.Header) == s.mediaType
+}
+
+// mediaType returns the media type that a header declares, without its parameters, or the text of an invalid one.
+func mediaType(header http.Header) string {
+	text := header.Get("Content-Type")
+	if parsed, _, err := mime.ParseMediaType(text); err == nil {
+		return parsed
+	}
+	return text
 }
 
 var (
 	errGap            = errors.New("events are missing from the stream")
+	errNoEvent        = errors.New("the response to a resumed attempt has no event")
 	errTruncatedEvent = errors.New("the stream ended within an event")
 	errEventTooLarge  = errors.Newf("an event exceeds %d bytes", maxEventBytes)
 )
@@ -165,6 +187,8 @@
 func (f *Forwarder) receiveStream(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time) attemptResult {
 	var pending []byte
 	buffer := make([]byte, 4<<10)
+	resumed := s.started
+	s.hasEvents = true
 	for {
 		n, err := got.Body.Read(buffer)
 		if n > 0 {
@@ -184,6 +208,8 @@
 			pending = append(pending[:0], rest...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && resumed && s.firstByte == 0:
+			return f.classifyError(clientCtx, c, s, errNoEvent)
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			s.sendHead(got.Header, got.Status)
 			f.logEnd(c, got.Status, "complete")
