Check the close of an accepted socket's duplicate

The linter found that newConnection ignored the error of Close. It is now returned with that of net.FileConn. Result: the linter reports no issue; no behaviour changes on success.

--- a/internal/process/gatewayrunner/listener.go
+++ b/internal/process/gatewayrunner/listener.go
@@ -98,7 +98,6 @@
 // newConnection returns the connection of an accepted socket.
 func newConnection(socket int) (net.Conn, error) {
 	file := os.NewFile(uintptr(socket), "client")
-	defer file.Close()
 	c, err := net.FileConn(file)
-	return c, errors.Wrap(err, "use an accepted socket")
+	return c, errors.Wrap(errors.CombineErrors(err, file.Close()), "use an accepted socket")
 }
