Log once a state that the map of a group is kept

The leader wrote line 724 with each read of the counts, 2.5 times a second for each group, so that the lines of other decisions were hard to find.

The skew of each read stays in the metric groupSkew.

--- a/internal/version/mapleader/lease_test.go
+++ b/internal/version/mapleader/lease_test.go
@@ -1,6 +1,7 @@
 package mapleader_test
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"testing"
@@ -93,6 +94,8 @@
 
 // fixture holds the leases of two nodes on one row and their clock.
 type fixture struct {
+	// log receives the lines of the leader.
+	log   bytes.Buffer
 	store *store
 	now   time.Duration
 	// clock returns now, or the time since the start of a test with a simulated clock.
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -410,6 +410,8 @@
 	verdict   estimator.Verdict
 	// isUneven is set while the load of the newest map is known to be uneven enough for another switch.
 	isUneven bool
+	// kept is why the map was kept when the counts were last read, or empty.
+	kept keptReason
 	// dueAt is when the counts are to be read next.
 	dueAt time.Time
 	// idleMoves is how often in a row the sampled ranks were idle.
@@ -628,17 +630,38 @@
 		Loads: maxLoads(engine.ExpertLoadTime),
 	})
 	g.isUneven = false
-	g.isUneven = false
 	skewBefore, skewAfter := rebalancer.Skew(g.layout, popularity), rebalancer.Skew(next, popularity)
 	l.recordSkew(g.id(), skewBefore, false)
-	if skewBefore < triggerSkew || skewBefore-skewAfter < minSkewGain {
-		l.cfg.Log.Event(logger.EventMapKept).Str("group", string(g.group.Name)).Uint64("epoch", uint64(g.group.Epoch)).
-			Float64("skewBefore", skewBefore).Float64("skewAfter", skewAfter).Send()
+	switch {
+	case skewBefore < triggerSkew:
+		l.keepMap(g, keptEven, skewBefore, skewAfter)
+		return nil
+	case skewBefore-skewAfter < minSkewGain:
+		l.keepMap(g, keptNoBetter, skewBefore, skewAfter)
 		return nil
 	}
+	g.kept = ""
 	return l.switchMap(ctx, g, next, skewBefore, skewAfter)
 }
 
+// keptReason is why the map of a group is kept.
+type keptReason string
+
+const (
+	keptEven     keptReason = "even"
+	keptNoBetter keptReason = "noBetterMap"
+)
+
+// keepMap logs that the map of a group is kept, unless it was kept for the same reason when the counts were last read.
+func (l *Leader) keepMap(g *managedGroup, reason keptReason, skewBefore, skewAfter float64) {
+	if g.kept == reason {
+		return
+	}
+	g.kept = reason
+	l.cfg.Log.Event(logger.EventMapKept).Str("group", string(g.group.Name)).Uint64("epoch", uint64(g.group.Epoch)).
+		Str("reason", string(reason)).Float64("skewBefore", skewBefore).Float64("skewAfter", skewAfter).Send()
+}
+
 // maxLoads returns how many experts a rank may load in one change. The load stays uneven until all ranks have loaded
 // theirs, and the first few experts reduce the skew most.
 func maxLoads(loadTime time.Duration) int {
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"currantledge.example/currantledge/internal/process/identifier"
@@ -298,7 +300,7 @@
 		PlatformDown:     func(since time.Time) bool { return f.platformDown && !f.peerRespondedAt().After(since) },
 		OnGroupState:     engines.recordState,
 		OnGroupFound:     engines.recordFound,
-		Log:              logger.Discard(),
+		Log:              logger.New(logger.Config{Output: zerolog.SyncWriter(&f.log)}),
 		Meter:            meter.New(),
 	})
 }
@@ -620,3 +622,18 @@
 		require.GreaterOrEqual(t, engines.reads(), reads+4)
 	})
 }
+
+// Guards against a line with each read of the counts while the leader keeps the map for the same reason.
+func TestMapThatIsKeptIsLoggedOnceAState(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		engines := &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}
+		stop := startLeader(t, newLeader(f, engines))
+		time.Sleep(10 * time.Second)
+		stop()
+		lines := f.log.String()
+		require.Greater(t, engines.reads(), 20)
+		require.Equal(t, 1, strings.Count(lines, `"event":724`), lines)
+	})
+}
