Make the test of extra bytes independent of the machine's load

Cause, by reading and by a trial: the test's server writes the extra bytes 20 ms after the response and the client sends its next request after 50 ms; with a server that writes after 80 ms the test fails in the same way.

Change: the client waits until the extra bytes are written, then 50 ms as before. The check is the same.

--- a/internal/connection/requester/requester_test.go
+++ b/internal/connection/requester/requester_test.go
@@ -82,6 +82,7 @@
 // Guards against an unrequested response that is taken for the response to the next request.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	t.Parallel()
+	written := make(chan struct{})
 	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
 		for {
 			if err := readRequest(r); err != nil {
@@ -91,6 +92,7 @@
 			if n == 1 {
 				time.Sleep(20 * time.Millisecond)
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+				close(written)
 			}
 		}
 	})
@@ -99,6 +101,7 @@
 		body, err := get(t, r, address, requester.Request{})
 		require.NoError(t, err)
 		require.Equal(t, "ok", body)
+		<-written
 		time.Sleep(50 * time.Millisecond)
 	}
 }
