Give the last responses of a planned stop 0.4 s

Change: open requests end 0.4 s before the close instead of 0.2 s, and the test shows the error of a failed request.

--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -25,7 +25,7 @@
 	// graceMargin is the part of the platform's grace period that is reserved for the exit of the process itself.
 	graceMargin = 600 * time.Millisecond
 	// finalResponseTime is the time before that for the responses to the requests that are then still open.
-	finalResponseTime = 200 * time.Millisecond
+	finalResponseTime = 400 * time.Millisecond
 )
 
 // run opens the listeners and runs all components. When the context ends, it stops them gracefully.
--- a/internal/process/gatewayrunner/stop_test.go
+++ b/internal/process/gatewayrunner/stop_test.go
@@ -164,10 +164,10 @@
 			d.responseDelay = test.late
 			d.mu.Unlock()
 			g.stop()
-			statuses := g.sendDuringStop(t, 21, 100*time.Millisecond)
+			statuses, bodies := g.sendDuringStop(t, 21, 100*time.Millisecond)
 			for i, code := range statuses {
 				ran := (&stopClient{deployment: d}).ran(fmt.Sprint("stop-", i))
-				require.Contains(t, []int{http.StatusOK, test.lateStatus}, code, "request %d of %v", i, statuses)
+				require.Contains(t, []int{http.StatusOK, test.lateStatus}, code, "request %d of %v: %s", i, statuses, bodies[i])
 				require.Equal(t, code != http.StatusServiceUnavailable, ran, "request %d", i)
 			}
 			require.Contains(t, statuses, test.lateStatus)
@@ -175,15 +175,16 @@
 	}
 }
 
-// sendDuringStop sends requests in turn, on connections of their own, and returns the status codes of their responses.
-func (g *gateway) sendDuringStop(t *testing.T, requests int, interval time.Duration) []int {
+// sendDuringStop sends requests in turn, on connections of their own, and returns the status codes and bodies of their
+// responses.
+func (g *gateway) sendDuringStop(t *testing.T, requests int, interval time.Duration) ([]int, []string) {
 	t.Helper()
-	statuses := make([]int, requests)
+	statuses, bodies := make([]int, requests), make([]string, requests)
 	var running sync.WaitGroup
 	for i := range requests {
-		running.Go(func() { statuses[i], _ = g.sendAlone(t, fmt.Sprint("stop-", i)) })
+		running.Go(func() { statuses[i], bodies[i] = g.sendAlone(t, fmt.Sprint("stop-", i)) })
 		time.Sleep(interval)
 	}
 	running.Wait()
-	return statuses
+	return statuses, bodies
 }
