--- a/internal/request/forwarder/screen.go
+++ b/internal/request/forwarder/screen.go
@@ -107,6 +107,7 @@
 	f.cfg.Screener.RecordCrash(time.Now(), c.prompt, responding)
 	f.cfg.Meter.Increment(meter.GatewayCrashes)
 	f.cfg.Log.Event(logger.EventUpstreamCrashed).Str("request", c.id).Str("upstream", string(g.Upstream.ID)).
-		Bool("responding", responding).Strs("parts", identifier.PartNames(c.prompt.Parts)).Send()
+		Bool("responding", responding).Str("digest", c.prompt.Digest()).
+		Strs("parts", identifier.PartNames(c.prompt.Parts)).Send()
 	f.cfg.OnCrash(responding)
 }
--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -17,9 +17,11 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -67,6 +69,11 @@
 	Request identifier.PromptPart
 }
 
+// Digest returns a hash of the whole request for logs; one that is sent again has the same.
+func (p Prompt) Digest() string {
+	return strconv.FormatUint(xxhash.Sum64String(string(p.Request)), 16)
+}
+
 // Verdict is whether a request may be sent to an upstream: Clear, Isolated or Refused.
 type Verdict interface{ verdict() }
 
