Count the crashes of different upstreams separately

Three upstreams ended within 0.3 s and counted once, so a gateway refused the request after its third outage, up to nine crashes later.

The screener now keeps crashes before a response in a ledger: for each request, and each part of a prompt, the crashes since it was last answered, by what crashed (an upstream, or a group within 2 s). After one crash a request is isolated, after two it is refused if no other request on these upstreams explains the crashes as well, else after three. One that had been answered before needs one crash more, and of its runs that overlapped one counts, so that a polled path that was on each upstream of a failure domain that lost power is not refused. The ledger is bounded by 64 contents and 6 crashes of each.

--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -48,7 +48,8 @@
 	Customer    string   `cbor:"customer"`
 	Parts       []string `cbor:"parts"`
 	Request     string   `cbor:"request"`
-	Responding  bool     `cbor:"responding,omitempty"`
+	// Responding is always set. Older gateways ignore suspicions without it.
+	Responding bool `cbor:"responding,omitempty"`
 }
 
 // wireLimit is the CBOR form of an UpstreamLimit. Its time is sent as its age.
@@ -153,7 +154,7 @@
 		suspicions = append(suspicions, wireSuspicion{
 			Node: string(s.Node), Incarnation: uint64(s.Incarnation), Sequence: s.Sequence,
 			AgeMs: now.Sub(s.At).Milliseconds(), Customer: string(s.Customer), Parts: convertAll[string](s.Parts),
-			Request: string(s.Request), Responding: s.Responding,
+			Request: string(s.Request), Responding: true,
 		})
 	}
 	ages := make(map[string]int64, len(r.Answered))
@@ -166,11 +167,13 @@
 func decodeCrashes(now time.Time, w wireState) federator.CrashReport {
 	r := federator.CrashReport{Answered: make(map[identifier.PromptPart]time.Time, len(w.AnsweredAgesMs))}
 	for _, s := range w.Crashes {
+		if !s.Responding {
+			continue
+		}
 		r.Suspicions = append(r.Suspicions, federator.Suspicion{
 			Node: identifier.Node(s.Node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
 			At: before(now, s.AgeMs), Customer: identifier.Customer(s.Customer),
 			Parts: convertAll[identifier.PromptPart](s.Parts), Request: identifier.PromptPart(s.Request),
-			Responding: s.Responding,
 		})
 	}
 	for part, age := range w.AnsweredAgesMs {
--- a/internal/process/gatewayrunner/crashrows.go
+++ b/internal/process/gatewayrunner/crashrows.go
@@ -38,7 +38,7 @@
 func encodeCrashRow(node identifier.Node, suspicions []federator.Suspicion) ([]byte, error) {
 	stored := []storedCrash{}
 	for _, s := range suspicions {
-		if s.Node == node && s.Responding {
+		if s.Node == node {
 			stored = append(stored, storedCrash{
 				Incarnation: uint64(s.Incarnation), Sequence: s.Sequence, UnixMs: s.At.UnixMilli(),
 				Customer: string(s.Customer), Parts: identifier.PartNames(s.Parts), Request: string(s.Request),
@@ -64,7 +64,7 @@
 		suspicions = append(suspicions, federator.Suspicion{
 			Node: identifier.Node(node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
 			At: now.Add(-max(0, now.Sub(time.UnixMilli(s.UnixMs)))), Customer: identifier.Customer(s.Customer),
-			Parts: parts, Request: identifier.PromptPart(s.Request), Responding: true,
+			Parts: parts, Request: identifier.PromptPart(s.Request),
 		})
 	}
 	return suspicions, nil
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -316,7 +316,7 @@
 // mergeCrashes applies what another gateway knows of requests that crash upstreams. A relay passes news on at once.
 func (g *gateway) mergeCrashes(e federator.CrashesReported) {
 	now := time.Now()
-	news := g.screener.Merge(now, e.Report)
+	news := g.screener.Merge(now, e.Report).Suspicions
 	if len(news) == 0 {
 		return
 	}
@@ -324,7 +324,7 @@
 	for _, s := range news {
 		urgent = urgent || now.Sub(s.At) < maxUrgentAge
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
-			Bool("responding", s.Responding).Strs("parts", identifier.PartNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
+			Bool("responding", true).Strs("parts", identifier.PartNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
 	g.news.add(now)
 	if urgent && g.gossiper.IsRelay() {
@@ -332,10 +332,10 @@
 	}
 }
 
-// announceCrash sends a crash that this gateway has observed to the peers and to the store, if the request to blame is
-// known.
-func (g *gateway) announceCrash(responding bool) {
-	if !responding {
+// announceCrash sends a crash that this gateway has observed to the peers and to the store, if gateways that start later
+// have to know of it.
+func (g *gateway) announceCrash(lasting bool) {
+	if !lasting {
 		return
 	}
 	g.news.add(time.Now())
--- a/internal/process/identifier/identifier.go
+++ b/internal/process/identifier/identifier.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,13 @@
 	Digest string
 )
 
+type (
+	// ContentHash is the hash of a request as a whole, or of one part of its prompt, together with its customer.
+	ContentHash uint64
+	// CrashSite is the hash of an upstream or, for the ranks of a group, which crash together, of the group.
+	CrashSite uint64
+)
+
 type (
 	// Incarnation identifies one run of a process with a node name; later runs have higher incarnations.
 	Incarnation uint64
@@ -73,6 +81,11 @@
 	Priority int
 )
 
+// String returns the hash in hexadecimal digits.
+func (h ContentHash) String() string {
+	return strconv.FormatUint(uint64(h), 16)
+}
+
 // PartNames returns the parts of a prompt as texts.
 func PartNames(parts []PromptPart) []string {
 	names := make([]string, len(parts))
--- a/internal/request/forwarder/crash_test.go
+++ b/internal/request/forwarder/crash_test.go
@@ -76,7 +76,7 @@
 	}()
 	<-received
 	f.screener.Merge(time.Now(), federator.CrashReport{Suspicions: []federator.Suspicion{{
-		Node: "other", Sequence: 1, At: time.Now(), Customer: "customer", Parts: []identifier.PromptPart{"deadly"}, Responding: true,
+		Node: "other", Sequence: 1, At: time.Now(), Customer: "customer", Parts: []identifier.PromptPart{"deadly"},
 	}}})
 	<-closed
 	require.Equal(t, http.StatusBadGateway, <-responses)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -86,9 +86,9 @@
 	Fleet    func() cataloguer.Fleet
 	Admitter *admitter.Admitter
 	Screener *screener.Screener
-	// OnCrash is called once the screener has recorded that an upstream crashed before it had answered a request.
-	// responding tells whether it had begun its response.
-	OnCrash func(responding bool)
+	// OnCrash is called once the screener has recorded that an upstream crashed before it had answered a request. lasting
+	// tells whether gateways that start later have to know of it.
+	OnCrash func(lasting bool)
 	// OnLimitChange is called once the admitter has recorded that the rate limit of an upstream has changed.
 	OnLimitChange func(identifier.Upstream)
 	Budgeter      *budgeter.Budgeter
@@ -381,7 +381,7 @@
 	case result.complete:
 		f.cfg.Screener.RecordAnswer(time.Now(), c.prompt)
 	case result.broke && s.firstByte == 0:
-		f.recordCrash(ctx, c, s, g)
+		f.recordCrash(ctx, c, s, g, sent)
 	}
 	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -121,8 +121,8 @@
 			Fleet:    func() cataloguer.Fleet { return fleet },
 			Admitter: a,
 			Screener: s.screeners[i],
-			OnCrash: func(responding bool) {
-				if responding {
+			OnCrash: func(lasting bool) {
+				if lasting {
 					go s.reportCrashes(i)
 					go s.reportLimits(i)
 				}
--- a/internal/request/forwarder/screen.go
+++ b/internal/request/forwarder/screen.go
@@ -14,6 +14,7 @@
 	"currantledge.example/currantledge/internal/process/waiter"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/screener"
+	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
 const (
@@ -97,17 +98,29 @@
 }
 
 // recordCrash records an attempt whose connection broke before the response was answered, if the upstream has ended.
-func (f *Forwarder) recordCrash(ctx context.Context, c *call, s *stream, g admitter.Granted) {
+func (f *Forwarder) recordCrash(ctx context.Context, c *call, s *stream, g admitter.Granted, sent time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	if !f.cfg.Requester.Refuses(ctx, g.Upstream.Address) {
 		return
 	}
 	responding := c.route.Stream && s.head > 0
-	f.cfg.Screener.RecordCrash(time.Now(), c.prompt, responding)
+	crash := screener.Crash{Prompt: c.prompt, SentAt: sent, Responding: responding}
+	crash.Site, crash.Grouped = crashSite(c, g.Upstream)
+	lasting := f.cfg.Screener.RecordCrash(time.Now(), crash)
 	f.cfg.Meter.Increment(meter.GatewayCrashes)
 	f.cfg.Log.Event(logger.EventUpstreamCrashed).Str("request", c.id).Str("upstream", string(g.Upstream.ID)).
 		Bool("responding", responding).Str("digest", c.prompt.Digest()).
 		Strs("parts", identifier.PartNames(c.prompt.Parts)).Send()
-	f.cfg.OnCrash(responding)
+	f.cfg.OnCrash(lasting)
+}
+
+// crashSite returns what crashes as a whole: the group of a rank, all upstreams of a model whose groups are not known, or
+// one upstream of a plain service.
+func crashSite(c *call, u cataloguer.Upstream) (site identifier.CrashSite, grouped bool) {
+	name := string(u.ID)
+	if grouped = u.Group != "" || c.route.Stream; grouped {
+		name = identifier.GroupID{Service: u.Service, Group: u.Group}.String()
+	}
+	return identifier.CrashSite(xxhash.Sum64String(name)), grouped
 }
--- a/internal/request/screener/fleet_test.go
+++ b/internal/request/screener/fleet_test.go
@@ -133,7 +133,9 @@
 	})
 	for _, r := range broken {
 		f.endTrial(r)
-		f.gateways[r.gateway].RecordCrash(now, r.prompt, false)
+		f.gateways[r.gateway].RecordCrash(now, screener.Crash{
+			Prompt: r.prompt, Site: identifier.CrashSite(1000*f.starts[upstream] + upstream), SentAt: r.began,
+		})
 		f.report(now, r.gateway)
 	}
 	f.starts[upstream]++
@@ -146,7 +148,10 @@
 
 // report sends what a gateway knows to all others.
 func (f *fleet) report(now time.Time, from int) {
-	report := f.gateways[from].Report(now)
+	report := f.gateways[from].News(now)
+	if report.IsEmpty() {
+		return
+	}
 	f.reportsDue = append(f.reportsDue, now.Add(reportDelay))
 	f.reports = append(f.reports, func(now time.Time) {
 		for i, g := range f.gateways {
--- a/internal/request/screener/rule.go
+++ b/internal/request/screener/rule.go
@@ -13,10 +13,7 @@
 	// culprits are the parts of which each may be to blame; the parts of the other suspicions do not tell them apart.
 	culprits []identifier.PromptPart
 	customer identifier.Customer
-	// isolates and refuses tell what happens to requests of the customer that hold all culprits. refusesAll is set if
-	// that applies to requests of all customers.
-	isolates     bool
-	refuses      bool
+	// refusesAll is set if requests of all customers that hold all culprits are refused, not only those of the customer.
 	refusesAll   bool
 	refusedUntil time.Time
 }
@@ -29,10 +26,10 @@
 			matching++
 		}
 	}
-	if matching == 0 || !r.isolates {
+	if matching == 0 {
 		return Clear{}
 	}
-	refuses := r.refuses && (r.refusesAll || r.customer == p.Customer)
+	refuses := r.refusesAll || r.customer == p.Customer
 	if refuses && matching == len(r.culprits) && now.Before(r.refusedUntil) {
 		return Refused{Until: r.refusedUntil}
 	}
@@ -70,8 +67,6 @@
 		r.culprits = []identifier.PromptPart{known.Request}
 	}
 	outages := s.outages(r.culprits[0])
-	r.isolates = known.Responding || len(outages) >= minUncertainToIsolate
-	r.refuses = known.Responding || len(outages) >= minUncertainToRefuse
 	r.refusesAll = len(outages) > 1 && s.customers(r.culprits[0]) > 1
 	refusal := minRefusal
 	for range len(outages) - 1 {
--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -1,6 +1,7 @@
-// Package screener finds the part of a prompt that crashes upstreams and keeps requests with it from reaching others. It
-// answers one load: a few requests in a hundred, all different, share a part on which each upstream crashes as it begins
-// to respond, and each crash stops the whole group of the upstream for seconds.
+// Package screener finds the requests, and the parts of prompts, that crash upstreams and keeps them from reaching others. It
+// answers two loads. In one, a few requests in a hundred, all different, share a part on which each upstream crashes as it
+// begins to respond, and each crash stops the whole group of the upstream for seconds. In the other, one request that
+// crashes each upstream before it responds is sent again and again.
 //
 // A request that an upstream was about to answer when it crashed is a suspicion. Its culprit is among the parts of its
 // prompt that no upstream has answered since. A request with all of these parts is refused; one with some of them is
@@ -8,6 +9,8 @@
 // request is answered, its parts are no longer suspected. Gateways exchange suspicions and answered parts, so that each
 // crash is learned from once.
 //
+// If the upstream had not begun to respond, each request on it may be to blame. The ledger counts these crashes.
+//
 // A customer's crashes refuse requests of other customers only once requests of two customers have crashed upstreams.
 //
 // The package does no I/O and reads no clock: callers pass the current time.
@@ -17,7 +20,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -39,10 +41,8 @@
 	// maxParts bounds the parts of one suspicion. Later parts of a prompt are in fewer requests, so the first ones are
 	// left out.
 	maxParts = 8
-	// suspicionExpiry is how long a suspicion is kept, and uncertainExpiry one whose upstream had not begun to respond: most
-	// of these come from crashes that no request caused.
+	// suspicionExpiry is how long a suspicion is kept.
 	suspicionExpiry = 20 * time.Minute
-	uncertainExpiry = 2 * time.Minute
 	// maxReportDelay is the longest assumed delay of a report. A suspicion that expires within this time is not accepted
 	// from others, or gateways would return it to each other for ever.
 	maxReportDelay = 5 * time.Second
@@ -54,10 +54,6 @@
 	// outageSpan is the time within which several crashes count as one. Upstreams of a group may crash for one reason that
 	// is none of their requests, so only crashes in several outages count as repeated.
 	outageSpan = 2 * time.Second
-	// An upstream that had not begun to respond may have crashed for another reason, so requests are isolated after
-	// minUncertainToIsolate such crashes and refused after minUncertainToRefuse.
-	minUncertainToIsolate = 2
-	minUncertainToRefuse  = 3
 )
 
 // Prompt is what the screener knows of a request.
@@ -71,7 +67,32 @@
 
 // Digest returns a hash of the whole request for logs; one that is sent again has the same.
 func (p Prompt) Digest() string {
-	return strconv.FormatUint(xxhash.Sum64String(string(p.Request)), 16)
+	return p.requestHash().String()
+}
+
+func (p Prompt) requestHash() identifier.ContentHash {
+	return identifier.ContentHash(xxhash.Sum64String(string(p.Request)))
+}
+
+// contents returns the hashes of the request and of its last maxParts parts.
+func (p Prompt) contents() []identifier.ContentHash {
+	out := []identifier.ContentHash{p.requestHash()}
+	for _, part := range p.Parts[max(0, len(p.Parts)-maxParts):] {
+		out = append(out, identifier.ContentHash(xxhash.Sum64String(string(p.Customer)+"\x00"+string(part))))
+	}
+	return out
+}
+
+// Crash is a request that was running on an upstream when the upstream crashed.
+type Crash struct {
+	Prompt Prompt
+	// Site is the upstream or, for a rank, its group, and Grouped tells which.
+	Site    identifier.CrashSite
+	Grouped bool
+	// SentAt is when the request was sent to the upstream.
+	SentAt time.Time
+	// Responding is set if the upstream had begun its response.
+	Responding bool
 }
 
 // Verdict is whether a request may be sent to an upstream: Clear, Isolated or Refused.
@@ -123,6 +144,8 @@
 	answered map[identifier.PromptPart]time.Time
 	// rules are derived from suspicions and answered; nil if they have changed.
 	rules []rule
+	// ledger holds the crashes before a response.
+	ledger *ledger
 	// trials holds the parts with an isolated request at this gateway.
 	trials map[identifier.PromptPart]bool
 	// watched holds the requests that have been sent and not answered.
@@ -148,21 +171,48 @@
 		answered:   map[identifier.PromptPart]time.Time{},
 		trials:     map[identifier.PromptPart]bool{},
 		watched:    map[*watch]bool{},
+		ledger:     newLedger(),
 	}
 }
 
-// RecordCrash records that an upstream crashed before it had answered a request. responding tells whether it had begun
-// its response.
-func (s *Screener) RecordCrash(now time.Time, p Prompt, responding bool) {
+// RecordCrash records that an upstream crashed before it had answered a request. It reports whether a gateway that starts
+// later has to know of it: the request or a part of its prompt is to blame, or has crashed upstreams more than once.
+func (s *Screener) RecordCrash(now time.Time, c Crash) bool {
 	defer s.cancelRefused(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
+	p := c.Prompt
+	if !c.Responding {
+		for _, hash := range p.contents() {
+			s.addRun(now, federator.CrashedRun{Content: hash, Site: c.Site, Grouped: c.Grouped, SentAt: c.SentAt, At: now})
+		}
+		return s.ledger.lasts(p.contents())
+	}
 	s.sequence++
 	s.add(federator.Suspicion{
-		Node: s.cfg.Node, Incarnation: s.cfg.Incarnation, Sequence: s.sequence, At: now, Customer: p.Customer,
-		Parts: slices.Clone(p.Parts[max(0, len(p.Parts)-maxParts):]), Request: p.Request, Responding: responding,
+		Node: s.cfg.Node, Incarnation: s.cfg.Incarnation, Sequence: s.sequence, At: now, Site: c.Site, Customer: p.Customer,
+		Parts: slices.Clone(p.Parts[max(0, len(p.Parts)-maxParts):]), Request: p.Request,
 	})
+	return true
+}
+
+// addRun adds a crashed run to the ledger. Of the requests on an upstream that crashed, those to which it had not begun to
+// respond are not suspected if there is another one.
+func (s *Screener) addRun(now time.Time, run federator.CrashedRun) {
+	if !s.isExplained(run) {
+		s.ledger.add(now, run)
+	}
+}
+
+// isExplained reports whether the request that caused the crash of a run is known.
+func (s *Screener) isExplained(run federator.CrashedRun) bool {
+	for _, known := range s.suspicions {
+		if isSameCrash(run, federator.CrashedRun{Site: known.Site, At: known.At}) {
+			return true
+		}
+	}
+	return false
 }
 
 // RecordAnswer records that an upstream has begun to answer a request: a stream has had an event, any other response is
@@ -170,6 +220,9 @@
 func (s *Screener) RecordAnswer(now time.Time, p Prompt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, hash := range p.contents() {
+		s.ledger.recordAnswer(now, hash)
+	}
 	for _, part := range p.Parts {
 		s.seen.Add(part, now)
 		s.markAnswered(part, now)
@@ -193,14 +246,17 @@
 }
 
 func (s *Screener) verdict(now time.Time, p Prompt) Verdict {
-	if len(s.suspicions) == 0 {
+	if len(s.suspicions) == 0 && len(s.ledger.contents) == 0 {
 		return Clear{}
 	}
 	s.expire(now)
 	if s.rules == nil {
 		s.rules = s.deriveRules()
 	}
-	var out Verdict = Clear{}
+	out := s.ledger.verdict(now, p.contents())
+	if _, is := out.(Refused); is {
+		return out
+	}
 	for _, r := range s.rules {
 		switch v := r.verdict(now, p).(type) {
 		case Refused:
@@ -262,22 +318,22 @@
 	delete(s.trials, part)
 }
 
-// Merge adds the report of another gateway and returns the suspicions in it that are new here.
-func (s *Screener) Merge(now time.Time, report federator.CrashReport) []federator.Suspicion {
+// Merge adds the report of another gateway and returns what in it is new here.
+func (s *Screener) Merge(now time.Time, report federator.CrashReport) federator.CrashReport {
 	added := s.merge(now, report)
-	if len(added) > 0 {
+	if !added.IsEmpty() {
 		s.cancelRefused(now)
 	}
 	return added
 }
 
-func (s *Screener) merge(now time.Time, report federator.CrashReport) []federator.Suspicion {
+func (s *Screener) merge(now time.Time, report federator.CrashReport) federator.CrashReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	var added []federator.Suspicion
+	var added federator.CrashReport
 	for _, reported := range report.Suspicions {
-		if !reported.Responding || now.Sub(reported.At) > lifetime(reported)-maxReportDelay {
+		if now.Sub(reported.At) > suspicionExpiry-maxReportDelay {
 			continue
 		}
 		if known, found := s.suspicions[idOf(reported)]; found {
@@ -291,7 +347,7 @@
 		}
 		reported.Parts = slices.Clone(reported.Parts[max(0, len(reported.Parts)-maxParts):])
 		if s.add(reported) {
-			added = append(added, reported)
+			added.Suspicions = append(added.Suspicions, reported)
 		}
 	}
 	for part, at := range report.Answered {
@@ -299,23 +355,28 @@
 			s.markAnswered(part, at)
 		}
 	}
+	report.Runs = slices.DeleteFunc(slices.Clone(report.Runs), s.isExplained)
+	added.Runs = s.ledger.merge(now, report)
 	return added
 }
 
-// Report returns what is to be sent to the other gateways. Suspicions that are uncertain stay here: a crash of several
-// upstreams leaves dozens of them.
+// News returns what this gateway has learned lately of crashes before a response; each datagram holds it.
+func (s *Screener) News(now time.Time) federator.CrashReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var report federator.CrashReport
+	s.ledger.report(now, &report, true)
+	return report
+}
+
+// Report returns all that is to be sent to the other gateways.
 func (s *Screener) Report(now time.Time) federator.CrashReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.suspicions) == 0 {
-		return federator.CrashReport{}
-	}
 	s.expire(now)
 	report := federator.CrashReport{Answered: map[identifier.PromptPart]time.Time{}}
+	s.ledger.report(now, &report, false)
 	for _, known := range slices.SortedFunc(maps.Values(s.suspicions), compareSuspicions) {
-		if !known.Responding {
-			continue
-		}
 		report.Suspicions = append(report.Suspicions, known)
 		for _, part := range append(slices.Clone(known.Parts), known.Request) {
 			if at := s.answered[part]; !at.IsZero() {
@@ -330,25 +391,9 @@
 	return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Node, y.Node), cmp.Compare(x.Sequence, y.Sequence))
 }
 
-// lifetime returns how long a suspicion is kept.
-func lifetime(s federator.Suspicion) time.Duration {
-	if s.Responding {
-		return suspicionExpiry
-	}
-	return uncertainExpiry
-}
-
-// add adds a suspicion within the bounds and reports whether it was kept. Of the requests on an upstream that crashed,
-// those to which it had not begun to respond are not suspected if there is another one.
+// add adds a suspicion within the bounds and reports whether it was kept.
 func (s *Screener) add(added federator.Suspicion) bool {
-	if !added.Responding && isNear(added.At, s.certainCrashes()) {
-		return false
-	}
-	if added.Responding {
-		maps.DeleteFunc(s.suspicions, func(_ suspicionID, known federator.Suspicion) bool {
-			return !known.Responding && isNear(known.At, []time.Time{added.At})
-		})
-	}
+	s.ledger.dropCrash(added.Site, added.At)
 	s.suspicions[idOf(added)] = added
 	for _, part := range append(slices.Clone(added.Parts), added.Request) {
 		if _, known := s.answered[part]; !known {
@@ -363,24 +408,8 @@
 	return kept
 }
 
-// certainCrashes returns the times of crashes whose request is known.
-func (s *Screener) certainCrashes() []time.Time {
-	var out []time.Time
-	for _, known := range s.suspicions {
-		if known.Responding {
-			out = append(out, known.At)
-		}
-	}
-	return out
-}
-
-func isNear(at time.Time, times []time.Time) bool {
-	return slices.ContainsFunc(times, func(t time.Time) bool { return at.Sub(t).Abs() < outageSpan })
-}
-
-// enforceBounds removes a suspicion of a customer that has too many, or of any if there are too many in all: the oldest
-// uncertain one, or else the oldest. All gateways thus keep the same ones, and do not return to each other what they have
-// removed.
+// enforceBounds removes the oldest suspicion of a customer that has too many, or of any if there are too many in all. All
+// gateways thus keep the same ones, and do not return to each other what they have removed.
 func (s *Screener) enforceBounds(customer identifier.Customer) {
 	ofCustomer := 0
 	for _, known := range s.suspicions {
@@ -394,8 +423,9 @@
 	}
 	var oldest *federator.Suspicion
 	for _, known := range slices.SortedFunc(maps.Values(s.suspicions), compareSuspicions) {
-		if (!tooMany || known.Customer == customer) && (oldest == nil || oldest.Responding && !known.Responding) {
+		if !tooMany || known.Customer == customer {
 			oldest = &known
+			break
 		}
 	}
 	delete(s.suspicions, idOf(*oldest))
@@ -403,9 +433,10 @@
 
 // expire removes old suspicions.
 func (s *Screener) expire(now time.Time) {
+	s.ledger.expire(now)
 	before := len(s.suspicions)
 	maps.DeleteFunc(s.suspicions, func(_ suspicionID, known federator.Suspicion) bool {
-		return now.Sub(known.At) > lifetime(known)
+		return now.Sub(known.At) > suspicionExpiry
 	})
 	if len(s.suspicions) != before {
 		s.rules = nil
--- a/internal/request/screener/screener_test.go
+++ b/internal/request/screener/screener_test.go
@@ -23,6 +23,11 @@
 	return screener.Prompt{Customer: customer, Parts: parts, Request: request}
 }
 
+// crashedRank returns a request that was running on a rank of a group when the rank crashed.
+func crashedRank(p screener.Prompt, responding bool) screener.Crash {
+	return screener.Crash{Prompt: p, Site: 1, Grouped: true, Responding: responding}
+}
+
 func refused(v screener.Verdict) bool {
 	_, is := v.(screener.Refused)
 	return is
@@ -33,7 +38,7 @@
 	t.Parallel()
 	s := newScreener("a")
 	s.RecordAnswer(start, prompt("c", "r0", "subject"))
-	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject", "deadly"), true)
+	s.RecordCrash(start.Add(time.Second), crashedRank(prompt("c", "r1", "subject", "deadly"), true))
 	now := start.Add(2 * time.Second)
 	require.True(t, refused(s.Verdict(now, prompt("c", "r2", "subject", "deadly"))))
 	require.True(t, refused(s.Verdict(now, prompt("c", "r3", "other", "deadly"))))
@@ -45,7 +50,7 @@
 func TestUnknownPartIsClearedByATrial(t *testing.T) {
 	t.Parallel()
 	s := newScreener("a")
-	s.RecordCrash(start, prompt("c", "r1", "subject", "deadly"), true)
+	s.RecordCrash(start, crashedRank(prompt("c", "r1", "subject", "deadly"), true))
 	sound := prompt("c", "r2", "subject")
 	isolated, is := s.Verdict(start, sound).(screener.Isolated)
 	require.True(t, is)
@@ -63,12 +68,12 @@
 	t.Parallel()
 	s := newScreener("a")
 	for i := range 20 {
-		s.RecordCrash(start.Add(time.Duration(i)*10*time.Second), prompt("attacker", "r", "part"), true)
+		s.RecordCrash(start.Add(time.Duration(i)*10*time.Second), crashedRank(prompt("attacker", "r", "part"), true))
 	}
 	now := start.Add(201 * time.Second)
 	require.True(t, refused(s.Verdict(now, prompt("attacker", "r2", "part"))))
 	require.IsType(t, screener.Isolated{}, s.Verdict(now, prompt("victim", "r3", "part")))
-	s.RecordCrash(now, prompt("victim", "r3", "part"), true)
+	s.RecordCrash(now, crashedRank(prompt("victim", "r3", "part"), true))
 	require.True(t, refused(s.Verdict(now, prompt("third", "r4", "part"))), "two customers' requests have crashed")
 }
 
@@ -77,13 +82,13 @@
 	t.Parallel()
 	s := newScreener("a")
 	for i := range 6 {
-		s.RecordCrash(start.Add(time.Duration(i)*100*time.Millisecond), prompt("c", "r", "fresh"), false)
+		s.RecordCrash(start.Add(time.Duration(i)*100*time.Millisecond), crashedRank(prompt("c", "r", "fresh"), false))
 	}
 	now := start.Add(time.Second)
 	require.Equal(t, screener.Clear{}, s.Verdict(now, prompt("c", "r2", "fresh")), "one outage")
-	s.RecordCrash(start.Add(10*time.Second), prompt("c", "r3", "fresh"), false)
+	s.RecordCrash(start.Add(10*time.Second), crashedRank(prompt("c", "r3", "fresh"), false))
 	require.IsType(t, screener.Isolated{}, s.Verdict(start.Add(11*time.Second), prompt("c", "r4", "fresh")))
-	s.RecordCrash(start.Add(20*time.Second), prompt("c", "r5", "fresh"), false)
+	s.RecordCrash(start.Add(20*time.Second), crashedRank(prompt("c", "r5", "fresh"), false))
 	require.True(t, refused(s.Verdict(start.Add(21*time.Second), prompt("c", "r6", "fresh"))))
 }
 
@@ -92,7 +97,7 @@
 	t.Parallel()
 	s := newScreener("a")
 	s.RecordAnswer(start, prompt("c", "r0", "subject"))
-	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject"), true)
+	s.RecordCrash(start.Add(time.Second), crashedRank(prompt("c", "r1", "subject"), true))
 	require.True(t, refused(s.Verdict(start.Add(time.Second), prompt("c", "r1", "subject"))))
 	require.Equal(t, screener.Clear{}, s.Verdict(start.Add(time.Second), prompt("c", "r2", "subject")))
 }
@@ -102,9 +107,9 @@
 	t.Parallel()
 	s := newScreener("a")
 	s.RecordAnswer(start, prompt("c", "r0", "part"))
-	s.RecordCrash(start.Add(time.Second), prompt("c", "r1", "part"), true)
+	s.RecordCrash(start.Add(time.Second), crashedRank(prompt("c", "r1", "part"), true))
 	require.Equal(t, screener.Clear{}, s.Verdict(start.Add(2*time.Second), prompt("c", "r2", "part")))
-	s.RecordCrash(start.Add(8*time.Second), prompt("c", "r2", "part"), true)
+	s.RecordCrash(start.Add(8*time.Second), crashedRank(prompt("c", "r2", "part"), true))
 	require.True(t, refused(s.Verdict(start.Add(9*time.Second), prompt("c", "r3", "part"))))
 }
 
@@ -114,10 +119,10 @@
 	t.Parallel()
 	a, b := newScreener("a"), newScreener("b")
 	b.RecordAnswer(start, prompt("c", "r0", "subject"))
-	a.RecordCrash(start.Add(time.Second), prompt("c", "r1", "subject", "deadly"), true)
+	a.RecordCrash(start.Add(time.Second), crashedRank(prompt("c", "r1", "subject", "deadly"), true))
 	now := start.Add(1100 * time.Millisecond)
-	require.Len(t, b.Merge(now, a.Report(now)), 1)
-	require.Empty(t, b.Merge(now, a.Report(now)))
+	require.Len(t, b.Merge(now, a.Report(now)).Suspicions, 1)
+	require.True(t, b.Merge(now, a.Report(now)).IsEmpty())
 	require.True(t, refused(b.Verdict(now, prompt("c", "r2", "other", "deadly"))))
 	require.IsType(t, screener.Isolated{}, a.Verdict(now, prompt("c", "r3", "subject")))
 	a.Merge(now, b.Report(now))
@@ -129,7 +134,7 @@
 func TestSuspicionsExpire(t *testing.T) {
 	t.Parallel()
 	a, b := newScreener("a"), newScreener("b")
-	a.RecordCrash(start, prompt("c", "r1", "deadly"), true)
+	a.RecordCrash(start, crashedRank(prompt("c", "r1", "deadly"), true))
 	again := prompt("c", "r2", "deadly")
 	require.True(t, refused(a.Verdict(start.Add(59*time.Second), again)))
 	require.IsType(t, screener.Isolated{}, a.Verdict(start.Add(61*time.Second), again))
@@ -148,6 +153,11 @@
 	for i := range r.Suspicions {
 		r.Suspicions[i].At = r.Suspicions[i].At.Add(100 * time.Millisecond)
 	}
+	r.Runs = slices.Clone(r.Runs)
+	for i := range r.Runs {
+		r.Runs[i].At = r.Runs[i].At.Add(100 * time.Millisecond)
+		r.Runs[i].SentAt = r.Runs[i].SentAt.Add(100 * time.Millisecond)
+	}
 	return r
 }
 
@@ -156,14 +166,19 @@
 func TestStateIsBounded(t *testing.T) {
 	t.Parallel()
 	s := newScreener("a")
-	s.RecordCrash(start, prompt("quiet", "r", "deadly"), true)
+	s.RecordCrash(start, crashedRank(prompt("quiet", "r", "deadly"), true))
 	for i := range 1000 {
 		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		part := identifier.PromptPart(fmt.Sprint("part", i))
-		s.RecordCrash(at, prompt(identifier.Customer(fmt.Sprint("loud", i%3)), part, part), true)
+		s.RecordCrash(at, crashedRank(prompt(identifier.Customer(fmt.Sprint("loud", i%3)), part, part), true))
 	}
 	now := start.Add(20 * time.Second)
 	require.LessOrEqual(t, len(s.Report(now).Suspicions), 32)
+	for i := range 1000 {
+		own := identifier.PromptPart(fmt.Sprint("t/", i))
+		s.RecordCrash(now, screener.Crash{Prompt: prompt("t", own), Site: identifier.CrashSite(2 + i%50)})
+	}
+	require.LessOrEqual(t, len(s.Report(now).Runs), 64)
 	require.True(t, refused(s.Verdict(now, prompt("quiet", "r2", "deadly"))))
 }
 
@@ -178,7 +193,7 @@
 	for i := range 600 {
 		part := identifier.PromptPart(fmt.Sprint("part", i))
 		customer := identifier.Customer(fmt.Sprint("c", i%2))
-		fleet[i%12].RecordCrash(start.Add(time.Duration(i)*5*time.Millisecond), prompt(customer, part, part), i%2 == 0)
+		fleet[i%12].RecordCrash(start.Add(time.Duration(i)*5*time.Millisecond), crashedRank(prompt(customer, part, part), i%2 == 0))
 	}
 	news := 0
 	for round := range 40 {
@@ -189,7 +204,8 @@
 			require.LessOrEqual(t, len(report.Suspicions), 32)
 			for j, to := range fleet {
 				if i != j {
-					news += len(to.Merge(now.Add(100*time.Millisecond), delayed(report)))
+					added := to.Merge(now.Add(100*time.Millisecond), delayed(report))
+					news += len(added.Suspicions) + len(added.Runs)
 				}
 			}
 		}
