Tell the other gateways of crashes before a response

First of the causes found: each gateway learned alone. A crash before a response was left out of reports, not accepted from them and not announced, since the storm of datagrams after a crash of many upstreams had been worse.

Merging is a union by content and crash, so that gateways do not return to each other what they know.

--- a/internal/connection/federator/federator.go
+++ b/internal/connection/federator/federator.go
@@ -156,7 +156,7 @@
 		return nil, false
 	}
 	t.heardAt, t.domain = now, s.FailureDomain
-	if len(s.Crashes.Suspicions) > 0 {
+	if !s.Crashes.IsEmpty() {
 		f.events = append(f.events, CrashesReported{Peer: s.Node, Report: s.Crashes})
 	}
 	if len(s.Limits) > 0 {
--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -31,6 +31,8 @@
 	Resigned       uint64                `cbor:"resigned,omitempty"`
 	Crashes        []wireSuspicion       `cbor:"crashes,omitempty"`
 	AnsweredAgesMs map[string]int64      `cbor:"answeredAgesMs,omitempty"`
+	CrashedRuns    []wireCrashedRun      `cbor:"crashedRuns,omitempty"`
+	ContentAgesMs  map[uint64]int64      `cbor:"contentAgesMs,omitempty"`
 	Limits         map[string]wireLimit  `cbor:"limits,omitempty"`
 	Notices        map[string]wireNotice `cbor:"notices,omitempty"`
 	Demand         map[string]float64    `cbor:"demand,omitempty"`
@@ -48,10 +50,21 @@
 	Customer    string   `cbor:"customer"`
 	Parts       []string `cbor:"parts"`
 	Request     string   `cbor:"request"`
+	Site        uint64   `cbor:"site,omitempty"`
 	// Responding is always set. Older gateways ignore suspicions without it.
 	Responding bool `cbor:"responding,omitempty"`
 }
 
+// wireCrashedRun is the CBOR form of a CrashedRun, an array of less than 40 bytes. The time of the crash is sent as its age.
+type wireCrashedRun struct {
+	_       struct{} `cbor:",toarray"`
+	Content uint64
+	Site    uint64
+	Grouped bool
+	RanMs   int64
+	AgeMs   int64
+}
+
 // wireLimit is the CBOR form of an UpstreamLimit. Its time is sent as its age.
 type wireLimit struct {
 	Limited   bool    `cbor:"limited,omitempty"`
@@ -122,7 +135,7 @@
 		Demand:         convert[string](s.Demand),
 		Peers:          s.Peers,
 	}
-	w.Crashes, w.AnsweredAgesMs = encodeCrashes(now, s.Crashes)
+	encodeCrashes(now, &w, s.Crashes)
 	if len(s.Limits) > 0 {
 		w.Limits = make(map[string]wireLimit, len(s.Limits))
 		for id, l := range s.Limits {
@@ -145,27 +158,35 @@
 	return raw, errors.Wrap(err, "encode the state")
 }
 
-func encodeCrashes(now time.Time, r federator.CrashReport) ([]wireSuspicion, map[string]int64) {
-	if len(r.Suspicions) == 0 {
-		return nil, nil
-	}
-	suspicions := make([]wireSuspicion, 0, len(r.Suspicions))
+func encodeCrashes(now time.Time, w *wireState, r federator.CrashReport) {
 	for _, s := range r.Suspicions {
-		suspicions = append(suspicions, wireSuspicion{
+		w.Crashes = append(w.Crashes, wireSuspicion{
 			Node: string(s.Node), Incarnation: uint64(s.Incarnation), Sequence: s.Sequence,
 			AgeMs: now.Sub(s.At).Milliseconds(), Customer: string(s.Customer), Parts: convertAll[string](s.Parts),
-			Request: string(s.Request), Responding: true,
+			Request: string(s.Request), Site: uint64(s.Site), Responding: true,
+		})
+	}
+	for _, c := range r.Runs {
+		w.CrashedRuns = append(w.CrashedRuns, wireCrashedRun{
+			Content: uint64(c.Content), Site: uint64(c.Site), Grouped: c.Grouped,
+			RanMs: c.At.Sub(c.SentAt).Milliseconds(), AgeMs: now.Sub(c.At).Milliseconds(),
 		})
 	}
-	ages := make(map[string]int64, len(r.Answered))
+	w.AnsweredAgesMs = make(map[string]int64, len(r.Answered))
 	for part, at := range r.Answered {
-		ages[string(part)] = now.Sub(at).Milliseconds()
+		w.AnsweredAgesMs[string(part)] = now.Sub(at).Milliseconds()
+	}
+	w.ContentAgesMs = make(map[uint64]int64, len(r.AnsweredContents))
+	for content, at := range r.AnsweredContents {
+		w.ContentAgesMs[uint64(content)] = now.Sub(at).Milliseconds()
 	}
-	return suspicions, ages
 }
 
 func decodeCrashes(now time.Time, w wireState) federator.CrashReport {
-	r := federator.CrashReport{Answered: make(map[identifier.PromptPart]time.Time, len(w.AnsweredAgesMs))}
+	r := federator.CrashReport{
+		Answered:         make(map[identifier.PromptPart]time.Time, len(w.AnsweredAgesMs)),
+		AnsweredContents: make(map[identifier.ContentHash]time.Time, len(w.ContentAgesMs)),
+	}
 	for _, s := range w.Crashes {
 		if !s.Responding {
 			continue
@@ -174,8 +195,19 @@
 			Node: identifier.Node(s.Node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
 			At: before(now, s.AgeMs), Customer: identifier.Customer(s.Customer),
 			Parts: convertAll[identifier.PromptPart](s.Parts), Request: identifier.PromptPart(s.Request),
+			Site: identifier.CrashSite(s.Site),
 		})
 	}
+	for _, c := range w.CrashedRuns {
+		at := before(now, c.AgeMs)
+		r.Runs = append(r.Runs, federator.CrashedRun{
+			Content: identifier.ContentHash(c.Content), Site: identifier.CrashSite(c.Site), Grouped: c.Grouped,
+			SentAt: before(at, c.RanMs), At: at,
+		})
+	}
+	for content, age := range w.ContentAgesMs {
+		r.AnsweredContents[identifier.ContentHash(content)] = before(now, age)
+	}
 	for part, age := range w.AnsweredAgesMs {
 		r.Answered[identifier.PromptPart(part)] = before(now, age)
 	}
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -86,6 +86,8 @@
 	screener   *screener.Screener
 	// news tells when the peers get what is known of crashes and rate limits.
 	news newsTimer
+	// urgentNews sends news at once.
+	urgentNews *coalescer
 	// crashObserved wakes maintainCrashRows after a crash that this gateway has observed.
 	crashObserved chan struct{}
 	// informed is set once the gateway knows what others have learned from crashes; before that it serves no requests.
@@ -208,6 +210,7 @@
 		return nil, err
 	}
 	g.screener = screener.New(screener.Config{Node: settings.Node, Incarnation: g.gossiper.Incarnation()})
+	g.urgentNews = newCoalescer(g.gossiper.Broadcast)
 	g.groups = newGroupStates(g.admitter)
 	g.operatorFollower = g.newFollower(platform.OperatorTable, false)
 	g.upstreamFollower = g.newFollower(platform.UpstreamTable, true)
@@ -284,6 +287,7 @@
 	limits, demand := g.admitter.Limits(now)
 	s.Demand = demand
 	s.Notices = g.admitter.Notices(now)
+	s.Crashes = g.screener.News(now)
 	if g.news.due(now) || complete {
 		s.Crashes = g.screener.Report(now)
 		s.Limits = limits
@@ -316,30 +320,34 @@
 // mergeCrashes applies what another gateway knows of requests that crash upstreams. A relay passes news on at once.
 func (g *gateway) mergeCrashes(e federator.CrashesReported) {
 	now := time.Now()
-	news := g.screener.Merge(now, e.Report).Suspicions
-	if len(news) == 0 {
-		return
-	}
+	news := g.screener.Merge(now, e.Report)
 	urgent := false
-	for _, s := range news {
+	for _, s := range news.Suspicions {
 		urgent = urgent || now.Sub(s.At) < maxUrgentAge
 		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
 			Bool("responding", true).Strs("parts", identifier.PartNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
 	}
-	g.news.add(now)
+	for _, run := range news.Runs {
+		urgent = urgent || now.Sub(run.At) < maxUrgentAge
+		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Bool("responding", false).
+			Str("digest", run.Content.String()).Dur("ageMs", now.Sub(run.At)).Send()
+	}
+	if len(news.Suspicions) > 0 {
+		g.news.add(now)
+	}
 	if urgent && g.gossiper.IsRelay() {
-		g.gossiper.Broadcast()
+		g.urgentNews.trigger()
 	}
 }
 
-// announceCrash sends a crash that this gateway has observed to the peers and to the store, if gateways that start later
+// announceCrash sends a crash that this gateway has observed to the peers, and to the store if gateways that start later
 // have to know of it.
 func (g *gateway) announceCrash(lasting bool) {
+	g.urgentNews.trigger()
 	if !lasting {
 		return
 	}
 	g.news.add(time.Now())
-	g.gossiper.Broadcast()
 	select {
 	case g.crashObserved <- struct{}{}:
 	default:
