Keep requests that crash upstreams repeatedly in the store

The row of a gateway that observes the second crash of a request now holds the runs of such requests beside its suspicions, as an object instead of an array; arrays of older gateways are still read. Single crashes are not stored: most are caused by no request.

--- a/internal/process/gatewayrunner/crashrows.go
+++ b/internal/process/gatewayrunner/crashrows.go
@@ -24,6 +24,21 @@
 	maxUninformed = 400 * time.Millisecond
 )
 
+// storedCrashes is the row of a gateway.
+type storedCrashes struct {
+	Suspicions []storedCrash `json:"suspicions"`
+	Runs       []storedRun   `json:"runs"`
+}
+
+// storedRun is the stored form of a CrashedRun.
+type storedRun struct {
+	Content uint64 `json:"content,string"`
+	Site    uint64 `json:"site,string"`
+	Grouped bool   `json:"grouped"`
+	RanMs   int64  `json:"ranMs"`
+	UnixMs  int64  `json:"unixMs"`
+}
+
 // storedCrash is the stored form of a Suspicion.
 type storedCrash struct {
 	Incarnation uint64   `json:"incarnation"`
@@ -32,42 +47,71 @@
 	Customer    string   `json:"customer"`
 	Parts       []string `json:"parts"`
 	Request     string   `json:"request"`
+	Site        uint64   `json:"site,string,omitempty"`
 }
 
-// encodeCrashRow encodes the suspicions of one gateway whose request to blame is known.
-func encodeCrashRow(node identifier.Node, suspicions []federator.Suspicion) ([]byte, error) {
-	stored := []storedCrash{}
-	for _, s := range suspicions {
+// encodeCrashRow encodes the suspicions of one gateway and, of the crashed runs that it knows, those of requests that have
+// crashed upstreams more than once.
+func encodeCrashRow(node identifier.Node, report federator.CrashReport) ([]byte, error) {
+	stored := storedCrashes{Suspicions: []storedCrash{}, Runs: []storedRun{}}
+	for _, s := range report.Suspicions {
 		if s.Node == node {
-			stored = append(stored, storedCrash{
+			stored.Suspicions = append(stored.Suspicions, storedCrash{
 				Incarnation: uint64(s.Incarnation), Sequence: s.Sequence, UnixMs: s.At.UnixMilli(),
 				Customer: string(s.Customer), Parts: identifier.PartNames(s.Parts), Request: string(s.Request),
+				Site: uint64(s.Site),
 			})
 		}
 	}
+	crashes := map[identifier.ContentHash]int{}
+	for _, run := range report.Runs {
+		crashes[run.Content]++
+	}
+	for _, run := range report.Runs {
+		if crashes[run.Content] < 2 {
+			continue
+		}
+		stored.Runs = append(stored.Runs, storedRun{
+			Content: uint64(run.Content), Site: uint64(run.Site), Grouped: run.Grouped,
+			RanMs: run.At.Sub(run.SentAt).Milliseconds(), UnixMs: run.At.UnixMilli(),
+		})
+	}
 	raw, err := json.Marshal(stored)
 	return raw, errors.Wrap(err, "encode the crash row")
 }
 
 // decodeCrashRow decodes the row of a gateway. A crash whose time lies ahead of this VM's clock counts as one of now.
-func decodeCrashRow(now time.Time, node string, raw []byte) ([]federator.Suspicion, error) {
-	var stored []storedCrash
-	if err := json.Unmarshal(raw, &stored); err != nil {
-		return nil, errors.Wrapf(err, "crash row of %s; it is written again at its next crash", node)
+func decodeCrashRow(now time.Time, node string, raw []byte) (federator.CrashReport, error) {
+	var stored storedCrashes
+	var report federator.CrashReport
+	err := json.Unmarshal(raw, &stored)
+	if err != nil {
+		// Older gateways write an array of suspicions.
+		err = json.Unmarshal(raw, &stored.Suspicions)
+	}
+	if err != nil {
+		return report, errors.Wrapf(err, "crash row of %s; it is written again at its next crash", node)
+	}
+	timeOf := func(unixMs int64) time.Time { return now.Add(-max(0, now.Sub(time.UnixMilli(unixMs)))) }
+	for _, run := range stored.Runs {
+		at := timeOf(run.UnixMs)
+		report.Runs = append(report.Runs, federator.CrashedRun{
+			Content: identifier.ContentHash(run.Content), Site: identifier.CrashSite(run.Site), Grouped: run.Grouped,
+			SentAt: at.Add(-time.Duration(max(0, run.RanMs)) * time.Millisecond), At: at,
+		})
 	}
-	suspicions := make([]federator.Suspicion, 0, len(stored))
-	for _, s := range stored {
+	for _, s := range stored.Suspicions {
 		parts := make([]identifier.PromptPart, len(s.Parts))
 		for i, p := range s.Parts {
 			parts[i] = identifier.PromptPart(p)
 		}
-		suspicions = append(suspicions, federator.Suspicion{
+		report.Suspicions = append(report.Suspicions, federator.Suspicion{
 			Node: identifier.Node(node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
-			At: now.Add(-max(0, now.Sub(time.UnixMilli(s.UnixMs)))), Customer: identifier.Customer(s.Customer),
+			At: timeOf(s.UnixMs), Site: identifier.CrashSite(s.Site), Customer: identifier.Customer(s.Customer),
 			Parts: parts, Request: identifier.PromptPart(s.Request),
 		})
 	}
-	return suspicions, nil
+	return report, nil
 }
 
 // maintainCrashRows reads the crash rows when the gateway starts and while no peer is live, and writes the own row after
@@ -124,19 +168,19 @@
 	}
 	now := time.Now()
 	for _, row := range rows {
-		suspicions, err := decodeCrashRow(now, row.Key, row.Value)
+		report, err := decodeCrashRow(now, row.Key, row.Value)
 		if err != nil {
 			g.log.Event(logger.EventRowInvalid).AnErr("error", err).Send()
 			continue
 		}
-		g.mergeCrashes(federator.CrashesReported{Report: federator.CrashReport{Suspicions: suspicions}})
+		g.mergeCrashes(federator.CrashesReported{Report: report})
 	}
 	g.informed.Store(true)
 	return nil
 }
 
 func (g *gateway) writeCrashRow(ctx context.Context) error {
-	raw, err := encodeCrashRow(g.settings.Node, g.screener.Report(time.Now()).Suspicions)
+	raw, err := encodeCrashRow(g.settings.Node, g.screener.Report(time.Now()))
 	if err != nil {
 		return err
 	}
