Pass over crashed upstreams for isolated requests

A request that was isolated after its upstream had crashed could wait until its deadline for another upstream that had crashed as well: that one is listed for some seconds more, and rendezvous hashing went on choosing it. It now passes over upstreams whose last connection failed and which are in their backoff. TestIsolatedRequestsShareAnUpstream, extended by that case, failed before: the second request was not granted.

--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -634,6 +634,14 @@
 		require.Nil(t, decision(f.Submit(start.Add(3*time.Second), again)))
 	}
 	require.Len(t, chosen, 1)
+
+	f := newFixture(upstream("x", shop, 1), upstream("y", shop, 1))
+	isolated := request(shop, start)
+	isolated.IsolateBy = "part"
+	first := requireGranted(t, f.Submit(start, isolated))
+	f.Done(start, first, admitter.Unreachable{})
+	second := requireGranted(t, f.Submit(start, isolated))
+	require.NotEqual(t, first.Upstream.ID, second.Upstream.ID, "the first one has crashed")
 }
 
 // Guards against requests that a stopping gateway starts although they usually take longer than it has left, against a
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -11,7 +11,7 @@
 // the same one at the same time. Upstreams from which other gateways had to turn away come last.
 func (a *Admitter) choose(now time.Time, s *service, request Request, groups map[*group]bool) *upstream {
 	if request.IsolateBy != "" {
-		u := a.isolationUpstream(request)
+		u := a.isolationUpstream(now, request)
 		if u == nil || !groups[u.group] || !a.accepts(now, s, u, request) {
 			return nil
 		}
@@ -47,12 +47,13 @@
 }
 
 // isolationUpstream returns the upstream for an isolated request by rendezvous hashing, or nil. Gateways that know the
-// same upstreams choose the same one.
-func (a *Admitter) isolationUpstream(request Request) *upstream {
+// same upstreams choose the same one. An upstream that has crashed is listed for some seconds more; the request would wait
+// for it in vain.
+func (a *Admitter) isolationUpstream(now time.Time, request Request) *upstream {
 	var best *upstream
 	var bestHash uint64
 	for _, u := range a.upstreams {
-		if u.Service != request.Service || request.Exclude[u.ID] || !a.usable(u) {
+		if u.Service != request.Service || request.Exclude[u.ID] || !a.usable(u) || u.isUnreachable(now) {
 			continue
 		}
 		if h := xxhash.Sum64String(request.IsolateBy + "/" + string(u.ID)); best == nil || h > bestHash {
@@ -77,6 +78,11 @@
 	return !now.Before(u.coldUntil) || s.ColdPerSecond <= 0 || !now.Before(u.coldPacer.nextSend)
 }
 
+// isUnreachable reports whether the last connection to the upstream failed and none is to be tried yet.
+func (u *upstream) isUnreachable(now time.Time) bool {
+	return u.backoff > 0 && now.Before(u.backoffUntil)
+}
+
 // isFull reports whether the upstream has no free slot within this gateway's allotment.
 func (u *upstream) isFull() bool {
 	if u.group.allotment.computedAt.IsZero() {
