Let refusals of crashing requests end at different times

Its refusal had ended 15 s after its second crash at all gateways at the same moment, which Retry-After had told the clients, so two gateways sent it on within 3 ms.

--- a/internal/request/screener/ledger.go
+++ b/internal/request/screener/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -31,9 +32,9 @@
 	isolationStrength = 1
 	refusalStrength   = 2
 	ambiguousStrength = 3
-	// minLedgerRefusal is how long a content is refused at refusalStrength. Each further crash multiplies it by refusalGrowth,
-	// up to maxRefusal.
-	minLedgerRefusal = 15 * time.Second
+	// spreadDivisor sets the part of a refusal by which its end is delayed at each gateway, so that the clients of all
+	// gateways, which return when it ends, do not send a request that still crashes upstreams at the same time.
+	spreadDivisor = 8
 )
 
 // ledger holds the runs that ended with their upstreams before these had begun a response: for each request as a whole,
@@ -44,6 +45,7 @@
 // had been answered before needs one crash more than a new one, and of its runs that overlapped only one counts: a request
 // that many clients send runs on all upstreams of a failure domain when that loses power.
 type ledger struct {
+	node     identifier.Node
 	contents map[identifier.ContentHash]*content
 	// answered holds when each content was last answered for this gateway, the newest maxAnsweredContents of them.
 	answered *simplelru.LRU[identifier.ContentHash, time.Time]
@@ -60,12 +62,12 @@
 	changedAt time.Time
 }
 
-func newLedger() *ledger {
+func newLedger(node identifier.Node) *ledger {
 	answered, err := simplelru.NewLRU[identifier.ContentHash, time.Time](maxAnsweredContents, nil)
 	if err != nil {
 		panic(errors.Wrap(err, "the size of the cache is not positive"))
 	}
-	return &ledger{contents: map[identifier.ContentHash]*content{}, answered: answered}
+	return &ledger{node: node, contents: map[identifier.ContentHash]*content{}, answered: answered}
 }
 
 // add adds a crashed run and reports whether it was new.
@@ -116,7 +118,7 @@
 		if strength < isolationStrength {
 			continue
 		}
-		if until := known.refusedUntil(strength); now.Before(until) && l.refuses(known, strength) {
+		if until := l.refusedUntil(known, strength); now.Before(until) && l.refuses(known, strength) {
 			return Refused{Until: until}
 		}
 		out = Isolated{Part: identifier.PromptPart(hash.String())}
@@ -134,6 +136,17 @@
 	})
 }
 
+// refusedUntil returns when the refusal of a content ends at this gateway.
+func (l *ledger) refusedUntil(known *content, strength int) time.Time {
+	refusal := minRefusal
+	for range strength - refusalStrength {
+		refusal = min(refusal*refusalGrowth, maxRefusal)
+	}
+	spread := uint64(refusal / spreadDivisor)
+	delay := xxhash.Sum64String(string(l.node)+"/"+known.hash.String()) % spread
+	return known.lastCrash().Add(refusal + time.Duration(delay))
+}
+
 // explains reports whether another content was in a crash and has at least a given strength.
 func (l *ledger) explains(crash federator.CrashedRun, except *content, strength int) bool {
 	for _, other := range l.contents {
@@ -286,15 +299,6 @@
 	return c.crashes[len(c.crashes)-1].At
 }
 
-// refusedUntil returns when the refusal of the content ends.
-func (c *content) refusedUntil(strength int) time.Time {
-	refusal := minLedgerRefusal
-	for range strength - refusalStrength {
-		refusal = min(refusal*refusalGrowth, maxRefusal)
-	}
-	return c.lastCrash().Add(refusal)
-}
-
 // isSameCrash reports whether two runs ended by the same crash of an upstream or group.
 func isSameCrash(x, y federator.CrashedRun) bool {
 	return x.Site == y.Site && x.At.Sub(y.At).Abs() < outageSpan
--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -171,7 +171,7 @@
 		answered:   map[identifier.PromptPart]time.Time{},
 		trials:     map[identifier.PromptPart]bool{},
 		watched:    map[*watch]bool{},
-		ledger:     newLedger(),
+		ledger:     newLedger(cfg.Node),
 	}
 }
 
