Give a gateway no extra retries in its first window

Each incarnation of a gateway took its share of the extra retries anew. Counts cannot be recovered after all have ended, so a gateway has no extra retries until a window has passed since its start; those by the ratio remain.

TestAllGatewaysStayWithinTheBudget now restarts gateways as well and failed before ("50" is not less than or equal to "30").

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -190,9 +190,10 @@
 		OnPass:        func(id identifier.GroupID, p timekeeper.Pass) { g.leader.PassBegan(id, p) },
 	})
 	g.budgeter = budgeter.New(budgeter.Config{
-		Ratio:  settings.Bounds.BudgetRatio,
-		Extra:  settings.Bounds.ExtraRetries,
-		Window: settings.Bounds.BudgetWindow,
+		Ratio:     settings.Bounds.BudgetRatio,
+		Extra:     settings.Bounds.ExtraRetries,
+		Window:    settings.Bounds.BudgetWindow,
+		StartedAt: time.Now(),
 	}, assumedGateways)
 	g.admitter.SetGateways(assumedGateways)
 	g.requester = requester.New(requester.Config{})
--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -25,6 +25,8 @@
 	Extra int
 	// Window is the sliding window in which requests and retries are counted.
 	Window time.Duration
+	// StartedAt is when the gateway started. Before that it may have sent retries which it no longer knows of.
+	StartedAt time.Time
 }
 
 // bucket holds the counts of one interval of length Window/bucketCount.
@@ -74,7 +76,7 @@
 			retries += k.retries
 		}
 	}
-	share := safetyFactor * (b.cfg.Ratio*float64(requests) + float64(b.cfg.Extra)/float64(b.gateways))
+	share := safetyFactor * (b.cfg.Ratio*float64(requests) + b.extra(now))
 	if float64(retries+1) > share {
 		return false
 	}
@@ -82,6 +84,15 @@
 	return true
 }
 
+// extra returns the share of the extra retries. A gateway that was restarted may have sent all of its share just before,
+// so it has none until a window has passed.
+func (b *Budgeter) extra(now time.Time) float64 {
+	if now.Sub(b.cfg.StartedAt) < b.cfg.Window {
+		return 0
+	}
+	return float64(b.cfg.Extra) / float64(b.gateways)
+}
+
 // bucket returns the current bucket of a service, reset if it held an interval of an earlier window.
 func (b *Budgeter) bucket(now time.Time, s identifier.Service) *bucket {
 	ring, found := b.services[s]
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -13,8 +13,8 @@
 const window = 10 * time.Second
 
 // Guards against gateways that together send more retries in any window than ratio × requests + extra, whatever the
-// order and distribution of requests. The requests are those of the same window or of the window that ended half a
-// window earlier, whichever are more.
+// order and distribution of requests and restarts. The requests are those of the same window or of the window that ended
+// half a window earlier, whichever are more.
 func TestAllGatewaysStayWithinTheBudget(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -27,7 +27,11 @@
 		var requests, retries []time.Time
 		for range rapid.IntRange(50, 600).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pauseMs")) * time.Millisecond)
-			b := all[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
+			i := rapid.IntRange(0, gateways-1).Draw(t, "gateway")
+			if rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
+				all[i] = budgeter.New(budgeter.Config{Ratio: ratio, Extra: extra, Window: window, StartedAt: now}, gateways)
+			}
+			b := all[i]
 			if rapid.Bool().Draw(t, "arrival") {
 				b.RecordRequest(now, "s")
 				requests = append(requests, now)
