--- a/review/tool/group.go
+++ b/review/tool/group.go
@@ -110,7 +110,7 @@
 			}
 			r.experts = append(r.experts, perRank)
 		}
-		r.address = serve(b.host(), r)
+		r.address, _ = serve(b.host(), r)
 		g.ranks = append(g.ranks, r)
 	}
 	go g.run()
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -106,12 +106,13 @@
 	}
 }
 
-// serve serves a handler at a free port of a loopback host and returns its address.
-func serve(host string, handler http.Handler) string {
+// serve serves a handler at a free port of a loopback host and returns its address and its server.
+func serve(host string, handler http.Handler) (string, *http.Server) {
 	l, err := net.Listen("tcp", host+":0")
 	check(err)
-	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(l) }()
-	return l.Addr().String()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), server
 }
 
 // freePort returns a port that is free on all of some hosts.
--- a/review/tool/runner.go
+++ b/review/tool/runner.go
@@ -34,7 +34,7 @@
 func (b *bed) newRunner(id, service, zone string, slots int, work time.Duration) *runner {
 	r := &runner{bed: b, id: id, service: service, zone: zone, slots: slots, work: work}
 	r.answerBytes = func(string) int { return usualAnswerBytes }
-	r.address = serve(b.host(), r)
+	r.address, r.server = serve(b.host(), r)
 	return r
 }
 
--- a/review/tool/store.go
+++ b/review/tool/store.go
@@ -35,7 +35,7 @@
 
 func newStore(host string) *store {
 	s := &store{began: time.Now(), rows: map[string]row{}, changed: make(chan struct{}), downAgain: make(chan struct{})}
-	s.address = serve(host, s)
+	s.address, _ = serve(host, s)
 	return s
 }
 
