Reject all keys once the last one is dropped

Callers saw: after the only key of the only customer was dropped, every request ran, with the dropped key or an invented one (CONFIG, ROUTE).

Cause: the decoder kept a map of keys and the catalogue took an empty map for 'no authentication configured'. A customer without keys, an empty or null list, and a key without text all opened the door; a key of two customers went to the later one in silence.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -506,13 +506,13 @@
 	g.fleet.Store(&fleet)
 	g.groups.retain(fleet.Upstreams)
 	g.admitter.SetFleet(time.Now(), fleet)
-	version := uint64(0)
+	version, anonymous := uint64(0), false
 	if fleet.Catalogue != nil {
-		version = uint64(fleet.Catalogue.Version())
+		version, anonymous = uint64(fleet.Catalogue.Version()), fleet.Catalogue.AllowsAnonymous()
 	}
 	// Peers that do not follow the platform's store pull the rows when they receive the new versions.
 	g.gossiper.Broadcast()
-	g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).
+	g.log.Event(logger.EventFleetChanged).Uint64("configVersion", version).Bool("allowsAnonymous", anonymous).
 		Int("upstreams", len(fleet.Upstreams)).Int("evacuated", len(fleet.Evacuated)).
 		Str("operatorRows", replicator.VersionText(g.replicator.Version(platform.OperatorTable))).
 		Str("upstreamRows", replicator.VersionText(g.replicator.Version(platform.UpstreamTable))).Send()
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -196,8 +197,8 @@
 		f.refuse(w, c, "noConfiguration", defaultRetryAfter)
 		return
 	}
-	if status, problem := f.resolve(fleet.Catalogue, c, r); problem != "" {
-		f.reject(w, c, status, problem)
+	if rejected := f.resolve(fleet.Catalogue, c, r); rejected != nil {
+		f.reject(w, c, *rejected)
 		return
 	}
 	if err := f.readBody(w, fleet.Catalogue, c, r); err != nil {
@@ -241,23 +242,43 @@
 	return admitter.Refused{Reason: reason, RetryAfter: defaultRetryAfter}
 }
 
-// resolve sets the route, the customer and the service of a request. It returns the status and the text of a rejection,
-// or no text if the request is accepted.
-func (f *Forwarder) resolve(catalogue *cataloguer.Catalogue, c *call, r *http.Request) (int, string) {
+// rejection is the response to an invalid request.
+type rejection struct {
+	status int
+	// message is the body of the response.
+	message string
+	// detail is what only the log adds to the message, or empty.
+	detail string
+}
+
+// resolve sets the route, the customer and the service of a request. It returns nil if the request is accepted.
+func (f *Forwarder) resolve(catalogue *cataloguer.Catalogue, c *call, r *http.Request) *rejection {
 	c.configVersion = catalogue.Version()
 	route, found := catalogue.Route(r.Host, r.URL.EscapedPath())
 	if !found {
-		return http.StatusNotFound, "no route"
+		return &rejection{status: http.StatusNotFound, message: "no route"}
 	}
-	customer, known := catalogue.Authenticate(route, r.Header.Get(f.cfg.Names.Key))
+	key := r.Header.Get(f.cfg.Names.Key)
+	customer, known := catalogue.Authenticate(route, key)
 	if !known {
-		return http.StatusUnauthorized, "unknown key"
+		return &rejection{status: http.StatusUnauthorized, message: "unknown key", detail: describeUnknownKey(catalogue, key)}
 	}
 	c.route, c.customer = route, customer
 	c.service = route.Pick(rand.Float64())
 	c.lastEventID = r.Header.Get(f.cfg.Names.LastEvent)
 	c.prompt = screener.Prompt{Customer: customer.Name, Parts: f.cfg.SharedParts(r.Header)}
-	return 0, ""
+	return nil
+}
+
+// describeUnknownKey returns what is known of a key that was not accepted. The text does not hold the key.
+func describeUnknownKey(catalogue *cataloguer.Catalogue, key string) string {
+	if key == "" {
+		return "no key"
+	}
+	if owner, found := catalogue.FormerOwner(key); found {
+		return fmt.Sprintf("dropped key of %q", owner)
+	}
+	return ""
 }
 
 // readBody reads the body of a request up to the configured limit, 4 MiB by default.
@@ -277,11 +298,11 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		f.reject(w, c, http.StatusRequestEntityTooLarge, "body too large")
+		f.reject(w, c, rejection{status: http.StatusRequestEntityTooLarge, message: "body too large"})
 	case errors.As(err, &timeout) && timeout.Timeout():
-		f.reject(w, c, http.StatusRequestTimeout, "body not received in time")
+		f.reject(w, c, rejection{status: http.StatusRequestTimeout, message: "body not received in time"})
 	default:
-		f.reject(w, c, http.StatusBadRequest, "body not received")
+		f.reject(w, c, rejection{status: http.StatusBadRequest, message: "body not received"})
 	}
 }
 
@@ -483,10 +504,14 @@
 }
 
 // reject ends an invalid request with an error status.
-func (f *Forwarder) reject(w http.ResponseWriter, c *call, status int, problem string) {
+func (f *Forwarder) reject(w http.ResponseWriter, c *call, rejected rejection) {
 	f.cfg.Meter.Increment(meter.GatewayRejected)
-	f.logEnd(c, status, problem)
-	http.Error(w, problem, status)
+	reason := rejected.message
+	if rejected.detail != "" {
+		reason += " (" + rejected.detail + ")"
+	}
+	f.logEnd(c, rejected.status, reason)
+	http.Error(w, rejected.message, rejected.status)
 }
 
 func (f *Forwarder) stopping() bool {
--- a/internal/version/cataloguer/cataloguer.go
+++ b/internal/version/cataloguer/cataloguer.go
@@ -132,29 +132,41 @@
 	Version  Version
 	Routes   []Route
 	Services []Service
+	// AllowAnonymous is set if requests need no API key.
+	AllowAnonymous bool
 	// Keys maps each API key to its customer.
 	Keys   map[string]Customer
 	Limits Limits
+	// Previous is the catalogue that this one replaces, or nil. Its keys that Keys lacks are remembered as former ones.
+	Previous *Catalogue
 }
 
+// maxFormerKeys bounds the keys of earlier configurations that are remembered.
+const maxFormerKeys = 10000
+
 // Catalogue is one version of the configuration.
 type Catalogue struct {
 	version Version
 	// hosts maps each host name, in lower case, to its routes, those with the longest prefix first.
-	hosts    map[string][]Route
-	services map[identifier.Service]Service
-	keys     map[string]Customer
-	limits   Limits
+	hosts          map[string][]Route
+	services       map[identifier.Service]Service
+	allowAnonymous bool
+	keys           map[string]Customer
+	// formerOwners holds the customers of the keys that earlier configurations held.
+	formerOwners map[string]identifier.Customer
+	limits       Limits
 }
 
 // New returns a Catalogue. It keeps the map Keys of the Config, which the caller must not change afterwards.
 func New(cfg Config) *Catalogue {
 	c := &Catalogue{
-		version:  cfg.Version,
-		hosts:    map[string][]Route{},
-		services: make(map[identifier.Service]Service, len(cfg.Services)),
-		keys:     cfg.Keys,
-		limits:   cfg.Limits,
+		version:        cfg.Version,
+		hosts:          map[string][]Route{},
+		services:       make(map[identifier.Service]Service, len(cfg.Services)),
+		allowAnonymous: cfg.AllowAnonymous,
+		keys:           cfg.Keys,
+		formerOwners:   formerOwners(cfg),
+		limits:         cfg.Limits,
 	}
 	for _, r := range cfg.Routes {
 		c.hosts[strings.ToLower(r.Host)] = append(c.hosts[strings.ToLower(r.Host)], r)
@@ -168,6 +180,26 @@
 	return c
 }
 
+// formerOwners returns the customers of the keys that the previous catalogue held or remembered and a Config lacks. Beyond
+// maxFormerKeys it forgets the keys that the previous catalogue only remembered.
+func formerOwners(cfg Config) map[string]identifier.Customer {
+	out := map[string]identifier.Customer{}
+	if cfg.Previous == nil {
+		return out
+	}
+	for key, owner := range cfg.Previous.keys {
+		if _, held := cfg.Keys[key]; !held {
+			out[key] = owner.Name
+		}
+	}
+	for key, name := range cfg.Previous.formerOwners {
+		if _, held := cfg.Keys[key]; !held && len(out) < maxFormerKeys {
+			out[key] = name
+		}
+	}
+	return out
+}
+
 // Version returns the version of the configuration.
 func (c *Catalogue) Version() Version {
 	return c.version
@@ -226,16 +258,28 @@
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == name })
 }
 
+// AllowsAnonymous reports whether requests need no API key.
+func (c *Catalogue) AllowsAnonymous() bool {
+	return c.allowAnonymous
+}
+
 // Authenticate returns the customer that owns an API key, and whether a request with this key may use the route. Public
-// routes, and configurations without keys, need no key.
+// routes, and configurations that allow anonymous requests, need no key. A catalogue without keys accepts no key.
 func (c *Catalogue) Authenticate(r Route, key string) (Customer, bool) {
-	if r.Public || len(c.keys) == 0 {
+	if r.Public || c.allowAnonymous {
 		return Customer{}, true
 	}
 	owner, found := c.keys[key]
 	return owner, found
 }
 
+// FormerOwner returns the customer of a key that an earlier configuration held and this one does not, and whether there
+// is one.
+func (c *Catalogue) FormerOwner(key string) (identifier.Customer, bool) {
+	name, found := c.formerOwners[key]
+	return name, found
+}
+
 // Priority returns the priority of the requests of a customer on a route.
 func Priority(r Route, owner Customer) int {
 	if owner.Priority != nil {
