End holds that ranks place after their release

Callers saw: every stream to a group was cut and ended with 502 for good (52 of 72 requests), seconds after one hold had been carried out late.

Cause: a hold does not end by itself, and a try without a response may be carried out after the release while the group is idle. The switcher took one accepted release for the end of the hold and the conflict of another hold for a step that has begun, and the leader read what ranks hold only when it discovered a group.

Change: the leader remembers holds without a response and releases them when the group gets to their step; it reads the reports of a group that stands for 1 s while requests run and ends what holds it by the procedure for an unfinished switch. No step is named by two holds in an epoch, so that a late release ends no newer hold. Event 742 tells step and ranks.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -230,6 +230,7 @@
 		Candidate:        g.shouldFollow,
 		StoreServesPeers: g.storeServesPeers,
 		PlatformDown:     g.platformDown,
+		Busy:             g.isGroupBusy,
 		OnGroupState:     g.groups.observe,
 		OnGroupFound:     g.recordGroup,
 		LinkSpeed:        settings.LinkSpeed,
--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -114,6 +114,12 @@
 	})
 }
 
+// isGroupBusy reports whether requests run on a group, those of other gateways included.
+func (g *gateway) isGroupBusy(id identifier.GroupID) bool {
+	status := g.admitter.Groups()[id]
+	return status.Running+status.PeerRunning > 0
+}
+
 func groupLabel(id identifier.GroupID) string {
 	return string(id.Service) + "/" + string(id.Group)
 }
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -82,6 +82,7 @@
 	EventUpstreamNotice       Event = 739
 	EventRequestsWait         Event = 740
 	EventListenerNotDrained   Event = 741
+	EventGroupStands          Event = 742
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -157,6 +158,7 @@
 	EventUpstreamNotice:       {zerolog.InfoLevel, "upstream wants no requests or accepts them again"},
 	EventRequestsWait:         {zerolog.InfoLevel, "requests wait for upstreams"},
 	EventListenerNotDrained:   {zerolog.WarnLevel, "established connections were not accepted"},
+	EventGroupStands:          {zerolog.WarnLevel, "group makes no passes"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/request/admitter/group.go
+++ b/internal/request/admitter/group.go
@@ -274,6 +274,8 @@
 	// Ranks is the number of ranks that may receive requests, and Running that of the requests of this gateway there.
 	Ranks   int
 	Running int
+	// PeerRunning is the number of requests of the other gateways there, as far as they have said.
+	PeerRunning int
 }
 
 // Groups returns the status of each group of ranks.
@@ -281,12 +283,18 @@
 	a.mu.Lock()
 	defer a.unlock()
 	out := map[identifier.GroupID]GroupStatus{}
+	peerRunning := map[*group]int{}
+	for _, u := range a.ordered {
+		peerRunning[u.group] += u.peerRunning
+	}
 	for _, s := range a.services {
 		if s.Engine == nil {
 			continue
 		}
 		for _, g := range s.groups {
-			out[identifier.GroupID{Service: s.Name, Group: g.name}] = GroupStatus{Open: !g.closed, Ranks: g.ranks, Running: g.running}
+			out[identifier.GroupID{Service: s.Name, Group: g.name}] = GroupStatus{
+				Open: !g.closed, Ranks: g.ranks, Running: g.running, PeerRunning: peerRunning[g],
+			}
 		}
 	}
 	return out
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -101,6 +101,8 @@
 	// PlatformDown reports whether this gateway receives gossip from at least half of its peers and the platform's store
 	// has responded to none of these since a time.
 	PlatformDown func(since time.Time) bool
+	// Busy reports whether requests run on a group, also those of other gateways. If it is nil, that is not known.
+	Busy func(identifier.GroupID) bool
 	// OnGroupState is called with each observation of whether a group is open.
 	OnGroupState func(id identifier.GroupID, open bool)
 	// OnGroupFound is called with the addresses of the ranks of each group that was discovered, and a version that is
@@ -142,6 +144,9 @@
 
 // New returns a Leader.
 func New(cfg Config) *Leader {
+	if cfg.Busy == nil {
+		cfg.Busy = func(identifier.GroupID) bool { return false }
+	}
 	return &Leader{
 		cfg:      cfg,
 		services: map[identifier.Service]*serviceState{},
@@ -390,6 +395,7 @@
 	}
 	clear(st.managed)
 	clear(st.lost)
+	clear(st.holds)
 }
 
 // managedGroup is the state that the leader keeps for one epoch of a group.
@@ -403,6 +409,7 @@
 	step identifier.Step
 	// unresolved is set if an earlier switch may have left the group held or armed.
 	unresolved bool
+	standstill mapswitcher.Standstill
 	// firstSampled, modulo the number of ranks, is the first rank whose counts are read.
 	firstSampled int
 	// hasCounts is set once counts were read in this epoch, and verdict is what the latest showed.
@@ -540,15 +547,29 @@
 // recoverGroup ends the switch that an earlier leader or a failed switch of this one has left unfinished. It may only
 // be called once this gateway has led, or the earlier leader has been silent, for longer than reportLag.
 func (l *Leader) recoverGroup(ctx context.Context, g *managedGroup) error {
+	reports, err := l.readReports(ctx, g)
+	if err != nil {
+		return err
+	}
+	return l.recoverFrom(ctx, g, reports)
+}
+
+// readReports reads the reports of all ranks.
+func (l *Leader) readReports(ctx context.Context, g *managedGroup) ([]mapswitcher.Report, error) {
 	reports, errs := gather(ctx, g.group.Members, maxCallTries, l.cfg.Engines.Report)
 	for i, r := range reports {
 		if errs[i] != nil {
-			return errs[i]
+			return nil, errs[i]
 		}
 		if r.Epoch != g.group.Epoch {
-			return mapswitcher.ErrEpochChanged
+			return nil, mapswitcher.ErrEpochChanged
 		}
 	}
+	return reports, nil
+}
+
+// recoverFrom ends the unfinished switch that the reports show.
+func (l *Leader) recoverFrom(ctx context.Context, g *managedGroup, reports []mapswitcher.Report) error {
 	if err := g.switcher.Recover(ctx, g.group, reports, l.nextVersion(), g.layout); err != nil {
 		return err
 	}
@@ -564,6 +585,43 @@
 	return nil
 }
 
+// endHolds releases holds that keep the group from beginning its next step although no switch is in progress: those of
+// this leader that were placed after their release, and, if the group stands while requests run, any other; current is the
+// step that began last.
+func (l *Leader) endHolds(ctx context.Context, g *managedGroup, current identifier.Step) error {
+	if released := g.switcher.EndStrayHolds(ctx, g.group, current); len(released) > 0 {
+		l.logStandstill(g, current, released)
+	}
+	if !g.standstill.Observe(time.Now(), current, l.cfg.Busy(g.id())) {
+		return nil
+	}
+	reports, err := l.readReports(ctx, g)
+	if err != nil {
+		return err
+	}
+	var holders []mapswitcher.Member
+	for i, r := range reports {
+		if r.Held != nil {
+			holders = append(holders, g.group.Members[i])
+		}
+	}
+	l.logStandstill(g, current, holders)
+	if len(holders) == 0 {
+		return nil
+	}
+	return l.recoverFrom(ctx, g, reports)
+}
+
+// logStandstill logs that a group did not begin the step after current, and the ranks that held it.
+func (l *Leader) logStandstill(g *managedGroup, current identifier.Step, holders []mapswitcher.Member) {
+	names := make([]string, 0, len(holders))
+	for _, m := range holders {
+		names = append(names, string(m.Upstream))
+	}
+	l.cfg.Log.Event(logger.EventGroupStands).Str("group", string(g.group.Name)).Uint64("epoch", uint64(g.group.Epoch)).
+		Uint64("step", uint64(current)+1).Strs("heldBy", names).Send()
+}
+
 // nextVersion returns a map version that is higher than all earlier ones, also of earlier leaders: the fence grows with
 // every tenure.
 func (l *Leader) nextVersion() identifier.MapVersion {
@@ -604,6 +662,9 @@
 		}
 		values = append(values, c.Counts)
 	}
+	if err := l.endHolds(ctx, g, counts[0].Step); err != nil {
+		return err
+	}
 	g.verdict = g.estimator.Observe(time.Now(), ranks, values)
 	g.hasCounts = true
 	switch g.verdict {
--- a/internal/version/mapleader/mapleader_test.go
+++ b/internal/version/mapleader/mapleader_test.go
@@ -280,6 +280,11 @@
 
 // newLeader returns a leader on node a for a service whose upstreams are ranks 0 and 1 and the others.
 func newLeader(f *fixture, engines *fakeEngines, others ...cataloguer.Upstream) *mapleader.Leader {
+	return mapleader.New(leaderConfig(f, engines, others...))
+}
+
+// leaderConfig returns the configuration of the leader that newLeader returns.
+func leaderConfig(f *fixture, engines *fakeEngines, others ...cataloguer.Upstream) mapleader.Config {
 	engine := &cataloguer.Engine{Sets: 1, Experts: 4, Places: 3, Spare: 2}
 	if engines.popular {
 		engine = &cataloguer.Engine{Sets: 1, Experts: 16, Places: 16, Spare: 1}
@@ -290,7 +295,7 @@
 			{ID: "a", Service: "s", Address: "0", Version: 5}, {ID: "b", Service: "s", Address: "1", Version: 6},
 		}, others...),
 	}
-	return mapleader.New(mapleader.Config{
+	return mapleader.Config{
 		Lease:            f.a,
 		Engines:          engines,
 		Fleet:            func() cataloguer.Fleet { return fleet },
@@ -302,7 +307,7 @@
 		OnGroupFound:     engines.recordFound,
 		Log:              logger.New(logger.Config{Output: zerolog.SyncWriter(&f.log)}),
 		Meter:            meter.New(),
-	})
+	}
 }
 
 // Guards against a group that stays held because its leader was stopped between holding and releasing it, also while the
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -23,6 +23,8 @@
 	lost map[identifier.GroupID][]string
 	// estimators holds the last estimator of each group; it outlives the epoch of a group.
 	estimators map[identifier.GroupID]*estimator.Estimator
+	// holds records the holds that this leader has ordered for each group in its tenure.
+	holds map[identifier.GroupID]*mapswitcher.HoldLedger
 	// searchedAt is when unknown groups were last searched for.
 	searchedAt time.Time
 	// replaced maps each upstream whose address another upstream has taken over to the version of its row.
@@ -36,6 +38,7 @@
 		managed:    map[identifier.GroupID]*managedGroup{},
 		lost:       map[identifier.GroupID][]string{},
 		estimators: map[identifier.GroupID]*estimator.Estimator{},
+		holds:      map[identifier.GroupID]*mapswitcher.HoldLedger{},
 		replaced:   map[identifier.Upstream]uint64{},
 	}
 }
@@ -83,6 +86,7 @@
 		if !slices.ContainsFunc(free, func(m mapswitcher.Member) bool { return slices.Contains(addresses, m.Address) }) {
 			delete(st.lost, id)
 			delete(st.estimators, id)
+			delete(st.holds, id)
 			continue
 		}
 		out = append(out, id)
@@ -257,6 +261,9 @@
 }
 
 func (l *Leader) newManagedGroup(ctx context.Context, st *serviceState, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
+	if st.holds[id] == nil {
+		st.holds[id] = mapswitcher.NewHoldLedger()
+	}
 	g := &managedGroup{
 		service: st.Service,
 		group:   mapswitcher.Group{Name: id.Group, Members: reported.members},
@@ -269,6 +276,7 @@
 			LoadTime:  st.Engine.ExpertLoadTime,
 			LinkSpeed: l.cfg.LinkSpeed,
 			AwaitPass: func(ctx context.Context) time.Duration { return l.awaitPass(ctx, id) },
+			Holds:     st.holds[id],
 		}),
 	}
 	st.estimators[id] = g.estimator
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -4,6 +4,10 @@
 // step, and releases the group once every rank has confirmed that it is armed. If a rank does not confirm, the switch
 // is abandoned: before the release, every rank is disarmed and prepares the old map under a newer version. An order
 // that arrives late then names a version that is no longer prepared or a step that has begun, and the rank rejects it.
+//
+// A hold is the exception: a rank places a late one as long as its step has not begun, and keeps it. The Switcher
+// remembers holds without a response and releases them when the group gets to their step (HoldLedger), and never holds a
+// group before the same step twice in an epoch, so that a late release ends no newer hold.
 package mapswitcher
 
 import (
@@ -215,9 +219,12 @@
 	// AwaitPass waits until the group begins a pass and returns how long passes take, or 0 if that is not known. If it is
 	// nil, it is not known.
 	AwaitPass func(context.Context) time.Duration
+	// Holds records the holds of the group for this and later Switchers of the leader. If it is nil, the Switcher has one
+	// of its own.
+	Holds *HoldLedger
 }
 
-// Switcher issues the orders of one leader. It keeps no state between calls.
+// Switcher issues the orders of one leader to one group.
 type Switcher struct {
 	cfg Config
 }
@@ -227,6 +234,9 @@
 	if cfg.AwaitPass == nil {
 		cfg.AwaitPass = func(context.Context) time.Duration { return 0 }
 	}
+	if cfg.Holds == nil {
+		cfg.Holds = NewHoldLedger()
+	}
 	return &Switcher{cfg: cfg}
 }
 
@@ -368,6 +378,7 @@
 // Two leaders cannot both hold the group, since a rank accepts one hold at a time.
 func (s *Switcher) hold(ctx context.Context, g Group) (identifier.Step, error) {
 	holder := g.Members[0]
+	rejected := identifier.Step(0)
 	for range maxHoldTries {
 		counts, err := s.cfg.Engines.Counts(ctx, holder)
 		if err != nil {
@@ -376,7 +387,10 @@
 		if counts.Epoch != g.Epoch {
 			return 0, ErrEpochChanged
 		}
-		step := counts.Step + stepsAhead
+		if counts.Step < rejected {
+			return 0, errors.CombineErrors(ErrUnresolved, errors.Newf("%s holds the group before another step than %d", holder.Upstream, rejected))
+		}
+		step := s.cfg.Holds.chooseStep(g.Epoch, counts.Step)
 		holdCtx, cancel := context.WithTimeout(ctx, armTimeout)
 		err = s.confirm(holdCtx, holder, g.Epoch, Hold{Step: step}, orderTimeout, StatusAccepted, StatusDone)
 		cancel()
@@ -384,7 +398,7 @@
 		case err == nil:
 			return step, nil
 		case errors.Is(err, errConflict):
-			continue
+			rejected = step
 		default:
 			// The rank may have accepted the hold although its response was lost.
 			return 0, errors.CombineErrors(ErrUnresolved, err)
@@ -469,6 +483,7 @@
 	if step == 0 || freeRank == noRank {
 		return ErrSwitchInProgress
 	}
+	s.cfg.Holds.recordStep(g.Epoch, step)
 	ownHold := Hold{Step: step}
 	err := s.confirm(ctx, g.Members[freeRank], g.Epoch, ownHold, orderTimeout, StatusAccepted, StatusDone)
 	if errors.Is(err, errConflict) {
@@ -480,19 +495,19 @@
 	if err := s.reset(ctx, g, armed, fallback, inUse); err != nil {
 		return err
 	}
+	heldSteps := map[Member]identifier.Step{g.Members[freeRank]: step}
 	for i, r := range reports {
-		heldStep := step
 		if r.Held != nil {
-			heldStep = *r.Held
-		} else if i != freeRank {
-			continue
-		}
-		err := s.confirm(ctx, g.Members[i], g.Epoch, Release{Step: heldStep}, orderTimeout, StatusAccepted, StatusDone, StatusConflict)
-		if err != nil {
-			return err
+			heldSteps[g.Members[i]] = *r.Held
 		}
 	}
-	return nil
+	return s.forEachMember(ctx, g, func(ctx context.Context, m Member) error {
+		heldStep, isHeld := heldSteps[m]
+		if !isHeld {
+			return nil
+		}
+		return s.confirm(ctx, m, g.Epoch, Release{Step: heldStep}, orderTimeout, StatusAccepted, StatusDone, StatusConflict)
+	})
 }
 
 // noRank is the index of no rank.
@@ -512,6 +527,9 @@
 		if err == nil {
 			return errors.Wrapf(checkStatus(m, status, accepted), "%s, %T", m.Upstream, o)
 		}
+		if hold, is := o.(Hold); is {
+			s.cfg.Holds.addStray(strayHold{member: m, epoch: epoch, step: hold.Step})
+		}
 		if err := wait(ctx, retryInterval); err != nil {
 			return errors.Wrapf(err, "no response from %s to %T", m.Upstream, o)
 		}
--- a/internal/version/mapswitcher/mapswitcher_test.go
+++ b/internal/version/mapswitcher/mapswitcher_test.go
@@ -44,6 +44,8 @@
 	step  identifier.Step
 	ranks [ranks]rank
 	mixed []identifier.Step
+	// idle is set while no requests run; an idle group begins no steps.
+	idle bool
 	// loseShare is the share of orders whose response is lost, and lateShare of those that are carried out seconds later.
 	loseShare float64
 	lateShare float64
@@ -77,6 +79,9 @@
 func (g *group) beginStep() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.idle {
+		return
+	}
 	next := g.step + 1
 	for _, r := range g.ranks {
 		if r.held != nil && *r.held == next {
@@ -102,6 +107,18 @@
 	return g.step
 }
 
+func (g *group) setIdle(idle bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.idle = idle
+}
+
+func (g *group) isIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle
+}
+
 // mixedSteps returns the steps that ranks began with different maps.
 func (g *group) mixedSteps() []identifier.Step {
 	g.mu.Lock()
