Back off upstreams whose responses have no end

Callers saw (three such upstreams beside a sound service): sound requests took two to five times as long and some got 502, since each response of 64 MiB was followed by the next: 766 in 12 s.

Cause: a response that was cut at its size limit counted as one failure like any other, which only weighs in the choice among upstreams.

Change: from its second oversized response in two minutes on, an upstream gets no requests for 0.25 s, doubled each time up to 30 s. Requests whose upstreams are all backed off for longer than they may wait are refused at once as not run.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -34,6 +34,12 @@
 	// further failure, up to maxUnreachableBackoff.
 	minUnreachableBackoff = 250 * time.Millisecond
 	maxUnreachableBackoff = 2 * time.Second
+	// minOversizedBackoff is how long an upstream gets no requests after a second response that was cut at its size limit. It
+	// doubles each time, up to maxOversizedBackoff, until there was none for oversizedMemory. Such responses take the network
+	// link from others.
+	minOversizedBackoff = 250 * time.Millisecond
+	maxOversizedBackoff = 30 * time.Second
+	oversizedMemory     = 2 * time.Minute
 	// rejectionBackoff is how long an upstream gets no requests after it rejected one: a slot becomes free in about this
 	// time.
 	rejectionBackoff = 40 * time.Millisecond
@@ -231,6 +237,7 @@
 			known.coldUntil = coldUntil
 		}
 		known.backoffUntil, known.backoff, known.replaced = time.Time{}, 0, false
+		known.oversizedAt, known.oversizedUntil = time.Time{}, time.Time{}
 	}
 	if u.Generation > known.Generation {
 		a.pauser.Forget(u.ID)
@@ -379,6 +386,9 @@
 		u.recordClosing(now, r.Closing)
 	case Failed:
 		u.recordFailures(now, 1)
+	case Oversized:
+		u.recordFailures(now, 1)
+		u.recordOversized(now)
 	case Unreachable:
 		u.backoff = min(max(2*u.backoff, minUnreachableBackoff), maxUnreachableBackoff)
 		u.backoffUntil = now.Add(u.backoff)
--- a/internal/request/admitter/allotment.go
+++ b/internal/request/admitter/allotment.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		u.limit = 0
-		if !a.usable(u) || !a.pauser.Allows(now, u.ID) {
+		if !a.usable(u) || !a.allows(now, u) {
 			elsewhere += u.running
 			continue
 		}
--- a/internal/request/admitter/backlog.go
+++ b/internal/request/admitter/backlog.go
@@ -64,7 +64,7 @@
 		}
 		b.Usable++
 		switch {
-		case !a.pauser.Allows(now, u.ID):
+		case !a.allows(now, u):
 			b.Paused++
 		case now.Before(u.backoffUntil):
 			b.Backoff++
--- a/internal/request/admitter/decision.go
+++ b/internal/request/admitter/decision.go
@@ -131,6 +131,9 @@
 // Failed means a broken, damaged or missing response, or an error response of the upstream.
 type Failed struct{}
 
+// Oversized means a response that was cut since it exceeded the limits of its size.
+type Oversized struct{}
+
 // Unreachable means that no connection could be established.
 type Unreachable struct{}
 
@@ -163,6 +166,7 @@
 
 func (Served) feedback()      {}
 func (Failed) feedback()      {}
+func (Oversized) feedback()   {}
 func (Unreachable) feedback() {}
 func (Rejected) feedback()    {}
 func (Replaced) feedback()    {}
--- a/internal/request/admitter/placement.go
+++ b/internal/request/admitter/placement.go
@@ -66,7 +66,7 @@
 // accepts reports whether an upstream can accept one more request now: it has a free slot within this gateway's
 // allotment, no backoff or pause, and its rate limit allows a request, if it has one or is cold.
 func (a *Admitter) accepts(now time.Time, s *service, u *upstream, request Request) bool {
-	if u.isFull() || now.Before(u.backoffUntil) || !a.pauser.Allows(now, u.ID) {
+	if u.isFull() || now.Before(u.backoffUntil) || !a.allows(now, u) {
 		return false
 	}
 	if _, limited := a.limiter.Limit(u.ID); limited {
@@ -78,6 +78,21 @@
 	return !now.Before(u.coldUntil) || s.ColdPerSecond <= 0 || !now.Before(u.coldPacer.nextSend)
 }
 
+// allows reports whether neither a pause that the upstream has asked for nor its oversized responses forbid a request.
+func (a *Admitter) allows(now time.Time, u *upstream) bool {
+	return a.pauser.Allows(now, u.ID) && !now.Before(u.oversizedUntil)
+}
+
+// pausedUntil returns the end of the time for which the upstream gets no requests since it has asked for a pause or sent
+// oversized responses; zero if there is none.
+func (a *Admitter) pausedUntil(now time.Time, u *upstream) time.Time {
+	until := a.pauser.Until(now, u.ID)
+	if now.Before(u.oversizedUntil) && u.oversizedUntil.After(until) {
+		until = u.oversizedUntil
+	}
+	return until
+}
+
 // isUnreachable reports whether the last connection to the upstream failed and none is to be tried yet.
 func (u *upstream) isUnreachable(now time.Time) bool {
 	return u.backoff > 0 && now.Before(u.backoffUntil)
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -152,13 +152,13 @@
 			continue
 		}
 		usable[u.group] = true
-		switch until := a.pauser.Until(now, u.ID); {
+		switch until := a.pausedUntil(now, u); {
 		case until.IsZero():
 			allPaused = false
 		case pauseEnd.IsZero() || until.Before(pauseEnd):
 			pauseEnd = until
 		}
-		if !u.group.closed && a.pauser.Allows(now, u.ID) {
+		if !u.group.closed && a.allows(now, u) {
 			openSlots += a.usableSlots(s, u)
 		}
 	}
--- a/internal/request/admitter/upstream.go
+++ b/internal/request/admitter/upstream.go
@@ -23,6 +23,11 @@
 	// backoff is the latest backoff after a failed connection; the upstream gets no requests before backoffUntil.
 	backoff      time.Duration
 	backoffUntil time.Time
+	// oversizedAt is when the upstream last sent an oversized response, oversizedBackoff the latest backoff after one, and
+	// oversizedUntil its end.
+	oversizedAt      time.Time
+	oversizedBackoff time.Duration
+	oversizedUntil   time.Time
 	// failures is the decayed number of failures as of failuresAt.
 	failures   float64
 	failuresAt time.Time
@@ -59,6 +64,22 @@
 	u.failuresAt = now
 }
 
+// recordOversized backs the upstream off from its second oversized response on. Requests that ran on it before the backoff
+// do not lengthen it.
+func (u *upstream) recordOversized(now time.Time) {
+	if now.Before(u.oversizedUntil) {
+		return
+	}
+	isFirst := now.Sub(u.oversizedAt) > oversizedMemory
+	u.oversizedAt = now
+	if isFirst {
+		u.oversizedBackoff = 0
+		return
+	}
+	u.oversizedBackoff = min(max(2*u.oversizedBackoff, minOversizedBackoff), maxOversizedBackoff)
+	u.oversizedUntil = now.Add(u.oversizedBackoff)
+}
+
 // recordClosing records whether the upstream closed the connection after a response.
 func (u *upstream) recordClosing(now time.Time, closing bool) {
 	if !closing {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -167,7 +167,7 @@
 		out.feedback, out.unsent, out.detail = admitter.Unreachable{}, true, "no connection"
 	case errors.Is(err, requester.ErrTooLarge), errors.Is(err, errEventTooLarge):
 		f.cfg.Meter.Increment(meter.GatewayOversized)
-		out.detail = "response too large"
+		out.feedback, out.detail = admitter.Oversized{}, "response too large"
 	case s.screened.Load():
 		out.feedback, out.detail = admitter.Cancelled{}, "cancelled, since its prompt crashes upstreams"
 	case s.stall.fired():
