Bound the memory of all bodies together

Callers would see (reported by other operators): a gateway is killed for its memory, and the requests of all its clients end with it.

Cause: bodies had bounds by connection, not for their sum. 150 responses of which 500 KiB had arrived raised the live heap by 87 MB, and 150 requests with bodies of 4 MiB by 634 MB; a gateway may have 152 MB.

Change: the bodies of requests take at most a quarter of the memory that the platform gives to the process, and buffered responses an eighth. A request without memory for its body is refused as not run, once it has been read, so that the client gets the response; a response is forwarded instead of being buffered. Near the limit the process collects garbage more often.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
 	"currantledge.example/currantledge/internal/request/forwarder"
+	"currantledge.example/currantledge/internal/request/reserver"
 	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/follower"
@@ -137,12 +139,18 @@
 	lastPull map[replicator.Table]time.Time
 }
 
+// collectAt is the part of the memory of the process from which on garbage is collected more often.
+const collectAt = 0.75
+
 // Run runs a gateway until the context ends, then stops it gracefully.
 func Run(ctx context.Context, cfg Config) error {
 	settings, err := platform.LoadSettings(cfg.SettingsPath)
 	if err != nil {
 		return err
 	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * collectAt))
+	}
 	lines := newLineWriter(cfg.Output)
 	defer lines.Close()
 	g, err := newGateway(settings, lines, cfg.LogLevel)
@@ -687,20 +695,35 @@
 	return l, errors.Wrapf(err, "listen on %s", address)
 }
 
+const (
+	// assumedMemory is the memory of the process if the platform does not say.
+	assumedMemory = 160_000_000
+	// requestMemoryDivisor and responseMemoryDivisor set the parts of the memory for the bodies of requests and for
+	// buffered responses. With the garbage of buffers that grew, bodies take up to half of the memory.
+	requestMemoryDivisor  = 4
+	responseMemoryDivisor = 8
+)
+
 func (g *gateway) clientHandler() http.Handler {
+	memory := g.settings.Memory
+	if memory == 0 {
+		memory = assumedMemory
+	}
 	return forwarder.New(forwarder.Config{
-		Names:         platform.HeaderNames(),
-		SharedParts:   platform.SharedParts,
-		Fleet:         g.servedFleet,
-		Admitter:      g.admitter,
-		Screener:      g.screener,
-		OnCrash:       g.announceCrash,
-		OnLimitChange: g.announceLimit,
-		Budgeter:      g.budgeter,
-		Requester:     g.requester,
-		Log:           g.log,
-		Meter:         g.meter,
-		Stopping:      g.stopping,
-		Ending:        g.ending,
+		Names:          platform.HeaderNames(),
+		SharedParts:    platform.SharedParts,
+		Fleet:          g.servedFleet,
+		Admitter:       g.admitter,
+		Screener:       g.screener,
+		OnCrash:        g.announceCrash,
+		OnLimitChange:  g.announceLimit,
+		Budgeter:       g.budgeter,
+		Requester:      g.requester,
+		RequestMemory:  reserver.New(memory / requestMemoryDivisor),
+		ResponseMemory: reserver.New(memory / responseMemoryDivisor),
+		Log:            g.log,
+		Meter:          g.meter,
+		Stopping:       g.stopping,
+		Ending:         g.ending,
 	})
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -16,12 +16,13 @@
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/request/reserver"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
 
 const (
 	// maxBufferedBytes is the size up to which a response is buffered until it is complete, so that the request can be
-	// retried if the response breaks.
+	// retried if the response breaks. It is buffered less far if there is no memory.
 	maxBufferedBytes = 512 << 10
 	// stallMargin is how much longer than its clients a gateway waits for the next event of a stream. When a group stalls,
 	// clients leave at their timeout; to resume their streams just before would waste the retry budget.
@@ -248,11 +249,12 @@
 	if c.route.Stream && got.Status < http.StatusMultipleChoices {
 		return f.receiveStream(clientCtx, c, s, got, sent)
 	}
-	body, err := io.ReadAll(io.LimitReader(got.Body, maxBufferedBytes))
-	if err != nil {
+	body, err := c.reserve(f.cfg.ResponseMemory).ReadAll(got.Body, maxBufferedBytes)
+	isLarge := len(body) == maxBufferedBytes || errors.Is(err, reserver.ErrExhausted)
+	if err != nil && !isLarge {
 		return f.classifyError(clientCtx, c, s, errors.Wrap(err, "read the response"))
 	}
-	if len(body) == maxBufferedBytes {
+	if isLarge {
 		return f.receiveLarge(clientCtx, c, s, got, sent, body)
 	}
 	resp := &response{status: got.Status, header: got.Header, body: body}
@@ -328,7 +330,7 @@
 	return l, true
 }
 
-// receiveLarge forwards a response of maxBufferedBytes or more as it arrives. beginning is the part that was read
+// receiveLarge forwards a response that is not buffered further as it arrives. beginning is the part that was read
 // already. From here on the request cannot be retried, so the response timer no longer applies.
 func (f *Forwarder) receiveLarge(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time, beginning []byte) attemptResult {
 	firstByte := time.Since(sent)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/budgeter"
+	"currantledge.example/currantledge/internal/request/reserver"
 	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/cataloguer"
 )
@@ -45,6 +46,8 @@
 	minDeadline = 10 * time.Millisecond
 	// defaultRetryAfter is sent if there is no estimate: without a configuration, and without reachable upstreams.
 	defaultRetryAfter = 300 * time.Millisecond
+	// defaultMemory is the memory for bodies if the Config has none.
+	defaultMemory = 32 << 20
 	// maxUnsentAttempts limits the attempts of a request that do not reach an upstream.
 	maxUnsentAttempts = 6
 )
@@ -94,8 +97,11 @@
 	OnLimitChange func(identifier.Upstream)
 	Budgeter      *budgeter.Budgeter
 	Requester     *requester.Requester
-	Log           *logger.Logger
-	Meter         *meter.Meter
+	// RequestMemory and ResponseMemory bound the bodies of all requests and the buffered responses.
+	RequestMemory  *reserver.Reserver
+	ResponseMemory *reserver.Reserver
+	Log            *logger.Logger
+	Meter          *meter.Meter
 	// Stopping is closed when the process begins to stop. Responses then close their connections.
 	Stopping <-chan struct{}
 	// Ending is done shortly before the process exits. Open requests then end: those without a response yet get one that
@@ -128,6 +134,12 @@
 	if cfg.Ending == nil {
 		cfg.Ending = context.Background()
 	}
+	if cfg.RequestMemory == nil {
+		cfg.RequestMemory = reserver.New(defaultMemory)
+	}
+	if cfg.ResponseMemory == nil {
+		cfg.ResponseMemory = reserver.New(defaultMemory)
+	}
 	if cfg.SharedParts == nil {
 		cfg.SharedParts = func(http.Header) []identifier.PromptPart { return nil }
 	}
@@ -165,6 +177,8 @@
 	grantUntil  time.Time
 	onTimeUntil time.Time
 	body        []byte
+	// reservations are for the bodies of the request and of the responses to it.
+	reservations []*reserver.Reservation
 	// prompt is what the screener needs to know of the request.
 	prompt screener.Prompt
 	// trial is the part of the prompt for which the request is isolated, or empty.
@@ -185,6 +199,19 @@
 	lastErrorResponse *response
 }
 
+// reserve returns a new reservation that is kept until the request ends.
+func (c *call) reserve(from *reserver.Reserver) *reserver.Reservation {
+	v := from.Reserve()
+	c.reservations = append(c.reservations, &v)
+	return &v
+}
+
+func (c *call) releaseMemory() {
+	for _, v := range c.reservations {
+		v.Release()
+	}
+}
+
 // ServeHTTP serves one request of a client.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: r.Header.Get(f.cfg.Names.RequestID), arrived: time.Now(), tried: map[identifier.Upstream]bool{}}
@@ -201,6 +228,7 @@
 		f.reject(w, c, *rejected)
 		return
 	}
+	defer c.releaseMemory()
 	if err := f.readBody(w, fleet.Catalogue, c, r); err != nil {
 		f.rejectBody(w, c, err)
 		return
@@ -287,8 +315,16 @@
 	if limit <= 0 {
 		limit = 1 << 22
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	from := http.MaxBytesReader(w, r.Body, limit)
+	body, err := c.reserve(f.cfg.RequestMemory).ReadAll(from, int(limit)+1)
 	c.body = body
+	if errors.Is(err, reserver.ErrExhausted) {
+		// Many clients read no response before they have sent their request, and get a reset instead.
+		c.body = nil
+		if _, discardErr := io.Copy(io.Discard, from); discardErr != nil {
+			return discardErr
+		}
+	}
 	return err
 }
 
@@ -297,6 +333,8 @@
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
+	case errors.Is(err, reserver.ErrExhausted):
+		f.refuse(w, c, string(ReasonMemory), defaultRetryAfter)
 	case errors.As(err, &tooLarge):
 		f.reject(w, c, rejection{status: http.StatusRequestEntityTooLarge, message: "body too large"})
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -388,6 +426,9 @@
 	}
 }
 
+// ReasonMemory means that there is no memory for the body of the request while other large ones are open.
+const ReasonMemory admitter.Reason = "memory"
+
 // ReasonBudget means that a retry would exceed the gateway's share of the retry budget.
 const ReasonBudget admitter.Reason = "retryBudget"
 
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -187,6 +187,7 @@
 func (f *Forwarder) receiveStream(clientCtx context.Context, c *call, s *stream, got *requester.Response, sent time.Time) attemptResult {
 	var pending []byte
 	buffer := make([]byte, 4<<10)
+	memory := c.reserve(f.cfg.ResponseMemory)
 	resumed := s.started
 	s.hasEvents = true
 	for {
@@ -206,6 +207,9 @@
 				return f.classifyError(clientCtx, c, s, forwardErr)
 			}
 			pending = append(pending[:0], rest...)
+			if !memory.Grow(cap(pending)) {
+				return f.classifyError(clientCtx, c, s, errEventTooLarge)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && resumed && s.firstByte == 0:
