Await a late response if there is no retry for it

Callers saw: sound requests of one service got 502 after twice the objective, 301 ms, while upstreams of another service sent bytes without end. The log said that the connection broke.

Cause: the gateway cancels a retryable request whose response does not arrive within twice the objective and sends it to another upstream. The retry budget was asked only afterwards, so that without a retry the client got 502 although its response was on the way; and what the gateway had closed itself was logged and checked as a crash of the upstream.

Change: the retry is taken from the budget before the attempt is cancelled; without one the late response is awaited. Such attempts are logged as 'no response in time'.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -103,8 +103,15 @@
 		cancel()
 	})
 	defer s.endWatch()
+	s.overdue.Store(false)
 	if timeout := f.responseTimeout(c); timeout > 0 {
-		timer := time.AfterFunc(timeout, cancel)
+		timer := time.AfterFunc(timeout, func() {
+			// Without a retry, the late response is all that the client can get.
+			if f.cfg.Budgeter.Take(time.Now(), c.service) {
+				s.overdue.Store(true)
+				cancel()
+			}
+		})
 		defer timer.Stop()
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
@@ -173,6 +180,8 @@
 		out.feedback, out.detail = admitter.Cancelled{}, "cancelled, since its prompt crashes upstreams"
 	case s.stall.fired():
 		out.detail = "no event in time"
+	case s.overdue.Load():
+		out.detail = "no response in time"
 	default:
 		out.broke = true
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -377,7 +377,7 @@
 	s := &stream{writer: w, names: f.cfg.Names, lastEventID: c.lastEventID}
 	defer f.endTrial(c)
 	for {
-		switch d := f.admit(ctx, c).(type) {
+		switch d := f.admit(ctx, c, s.overdue.Load()).(type) {
 		case admitter.Refused:
 			f.finishRefused(ctx, w, c, s, d)
 			return
@@ -390,8 +390,8 @@
 }
 
 // admit waits until the admitter assigns an upstream or refuses the request. Once an attempt may have reached an
-// upstream, each further one needs a retry from the budget.
-func (f *Forwarder) admit(ctx context.Context, c *call) admitter.Decision {
+// upstream, each further one needs a retry from the budget, which hasRetry tells is taken already.
+func (f *Forwarder) admit(ctx context.Context, c *call, hasRetry bool) admitter.Decision {
 	if ctx.Err() != nil {
 		return refusedAtEnd(ctx)
 	}
@@ -402,7 +402,7 @@
 		return refused
 	}
 	now := time.Now()
-	if c.sends > 0 && !f.cfg.Budgeter.Take(now, c.service) {
+	if c.sends > 0 && !hasRetry && !f.cfg.Budgeter.Take(now, c.service) {
 		// The budget recovers as its window moves on, which takes seconds.
 		return admitter.Refused{Reason: ReasonBudget, RetryAfter: time.Until(c.deadline) / admitter.RetryAfterDivisor}
 	}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -76,6 +76,11 @@
 }
 
 func newFixtureWithDialer(t *testing.T, dial dialer, responders ...responder) *fixture {
+	t.Helper()
+	return newFixtureWithBudget(t, dial, budgeter.Config{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, responders...)
+}
+
+func newFixtureWithBudget(t *testing.T, dial dialer, budget budgeter.Config, responders ...responder) *fixture {
 	t.Helper()
 	f := &fixture{screener: screener.New(screener.Config{})}
 	service := identifier.Service("s")
@@ -119,7 +124,7 @@
 		Fleet:     func() cataloguer.Fleet { return *f.fleet.Load() },
 		Admitter:  a,
 		Screener:  f.screener,
-		Budgeter:  budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, 1),
+		Budgeter:  budgeter.New(budget, 1),
 		Requester: requester.New(requester.Config{Dial: dial}),
 		Log:       logger.New(logger.Config{Output: &f.log}),
 		Meter:     meter.New(),
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -35,6 +35,8 @@
 	// stopResponseTimer stops the timer that cancels an attempt whose response does not arrive in time; nil if no attempt
 	// has had a timer.
 	stopResponseTimer func()
+	// overdue is set if that timer has cancelled the latest attempt, for which it has taken a retry from the budget.
+	overdue atomic.Bool
 	// stall cancels the latest attempt if no event arrives in time.
 	stall *stallTimer
 	// endWatch ends the watch of the latest attempt by the screener, which sets screened if it cancels the attempt.
