Tell a request for other weights from a replaced upstream

Callers saw: after one request at each gateway that expected a version of the weights which no upstream has, every request of the service was refused for good.

Cause: each 421 counted as 'another upstream has the address', although upstreams also answer 421 for other weights, and the next upstreams were tried and marked as well.

Change: a 421 from the expected upstream itself, or one that names none in response to a request that expects weights, concludes nothing about the upstream. The request is tried at other groups and gets 421 after as many rejections as its route has attempts.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -48,6 +48,9 @@
 	unsent bool
 	// notRun is set if the upstream rejected the request without running it.
 	notRun bool
+	// otherWeights is set if the upstream rejected the request since its weights have another version than the client
+	// expects.
+	otherWeights bool
 	// broke is set if the connection ended before the response did, for no reason of the gateway or the client.
 	broke bool
 	// errorResponse is the upstream's error response, which the client receives if no attempt succeeds.
@@ -236,7 +239,7 @@
 	case id == "" && got.Reused:
 		return attemptResult{feedback: admitter.Failed{}, detail: "answer without a request id on a reused connection"}
 	case got.Status == http.StatusMisdirectedRequest:
-		return attemptResult{feedback: admitter.Replaced{}, notRun: true, detail: "another upstream has the address"}
+		return f.misdirectedResult(c, s, got)
 	}
 	if id == c.id {
 		f.recordLimit(s)
@@ -313,6 +316,22 @@
 	return attemptResult{feedback: rejected, notRun: true, detail: detail}
 }
 
+// misdirectedResult returns the result for a response that the upstream is not the expected one: another upstream has its
+// address, or it has other weights than the client expects, which says nothing about other requests.
+func (f *Forwarder) misdirectedResult(c *call, s *stream, got *requester.Response) attemptResult {
+	n := f.cfg.Names
+	expected := string(s.grant.Upstream.ID)
+	isItself := got.Header.Get(n.Responder) == expected || got.Header.Get(n.AtFault) == expected
+	names := got.Header.Get(n.Responder) != "" || got.Header.Get(n.AtFault) != ""
+	switch {
+	case c.expectsWeights && (isItself || !names):
+		return attemptResult{feedback: admitter.Cancelled{}, notRun: true, otherWeights: true, detail: "the upstream has other weights"}
+	case isItself:
+		return attemptResult{feedback: admitter.Rejected{}, notRun: true, detail: "the upstream rejected the request with 421"}
+	}
+	return attemptResult{feedback: admitter.Replaced{}, notRun: true, detail: "another upstream has the address"}
+}
+
 // parsePause parses a number of seconds. An invalid or negative one, or a date, asks for no pause.
 func parsePause(text string) time.Duration {
 	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -64,6 +64,12 @@
 	Customer string
 	// Upstream names the incarnation that may run the request; any other rejects it.
 	Upstream string
+	// Weights names the version of the weights that an upstream must have to run the request. Clients set it.
+	Weights string
+	// Responder and AtFault name, in the response that an upstream is not the expected one, the upstream that responds and
+	// the one that the response is about.
+	Responder string
+	AtFault   string
 	// Stamp is the signature of the upstream that ran the request.
 	Stamp string
 	// NotRun is set in a response if the upstream did not run the request.
@@ -185,6 +191,8 @@
 	trial identifier.PromptPart
 	// lastEventID is the id of the last event that the client received, or empty.
 	lastEventID string
+	// expectsWeights is set if the client expects a version of the weights.
+	expectsWeights bool
 	// noClientRetry is set if the client is not expected to retry after a refusal: this request is a retry, or its stream
 	// has begun.
 	noClientRetry bool
@@ -195,6 +203,8 @@
 	sends  int
 	runs   int
 	unsent int
+	// otherWeights counts the upstreams that have rejected the request since they have other weights.
+	otherWeights int
 	// lastErrorResponse is the latest error response of an upstream, which the client receives if no attempt succeeds.
 	lastErrorResponse *response
 }
@@ -294,6 +304,7 @@
 	c.route, c.customer = route, customer
 	c.service = route.Pick(rand.Float64())
 	c.lastEventID = r.Header.Get(f.cfg.Names.LastEvent)
+	c.expectsWeights = r.Header.Get(f.cfg.Names.Weights) != ""
 	c.prompt = screener.Prompt{Customer: customer.Name, Parts: f.cfg.SharedParts(r.Header)}
 	return nil
 }
@@ -447,6 +458,10 @@
 	}
 	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
+	if result.otherWeights {
+		c.otherWeights++
+		f.excludeGroup(c, g.Upstream)
+	}
 	switch {
 	case result.unsent:
 		c.unsent++
@@ -470,6 +485,9 @@
 		return true
 	case s.started && (c.route.Retry != cataloguer.RetryResume || !s.hasEvents):
 		f.finishFailed(ctx, s, c, "response broke and may not be resumed")
+	case result.otherWeights && c.runs == 0 && c.otherWeights >= c.route.Attempts:
+		f.rejectWeights(s.writer, c)
+		return true
 	case c.runs > 0 && c.route.Retry == cataloguer.RetryNever, c.runs >= c.route.Attempts:
 		f.finishFailed(ctx, s, c, "upstream failed")
 		return true
@@ -493,9 +511,30 @@
 		f.finishFailed(ctx, s, c, string(d.Reason))
 		return
 	}
+	if c.otherWeights > 0 && d.Reason == admitter.ReasonNoUpstream {
+		f.rejectWeights(w, c)
+		return
+	}
 	f.refuse(w, c, string(d.Reason), d.RetryAfter)
 }
 
+// rejectWeights ends a request that no upstream has run since those that were tried have other weights.
+func (f *Forwarder) rejectWeights(w http.ResponseWriter, c *call) {
+	f.reject(w, c, rejection{status: http.StatusMisdirectedRequest, message: "no upstream has the expected version of the weights"})
+}
+
+// excludeGroup excludes the ranks of an upstream's group from further attempts: they have the same weights.
+func (f *Forwarder) excludeGroup(c *call, u cataloguer.Upstream) {
+	if u.Group == "" {
+		return
+	}
+	for _, other := range f.cfg.Fleet().Upstreams {
+		if other.Service == u.Service && other.Group == u.Group {
+			c.tried[other.ID] = true
+		}
+	}
+}
+
 // finishCancelled ends a request whose client closed the connection. It panics instead of returning: a handler that
 // returns without a response sends an empty success.
 func (f *Forwarder) finishCancelled(c *call) {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -30,6 +30,7 @@
 
 var names = forwarder.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Customer: "Customer", Upstream: "Upstream", Stamp: "Stamp",
+	Weights: "Weights", Responder: "Responder", AtFault: "At-Fault",
 	NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving", LastEvent: "Last-Event-Id", Priority: "Priority",
 }
 
