End writes to clients that stop reading

Cause: a slot was given back only once the response had been written to the client, and no write had a limit.

Change: writes end 0.2 s after the deadline of the request, and the slot of a complete response is given back before it is written.

--- a/internal/process/gatewayrunner/connections.go
+++ b/internal/process/gatewayrunner/connections.go
@@ -38,7 +38,10 @@
 		c.early[conn] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(c.early, conn)
-	case http.StateActive, http.StateIdle:
+	case http.StateActive:
+		// The limit of the previous request does not apply to the response to a malformed one.
+		_ = conn.SetWriteDeadline(time.Time{})
+	case http.StateIdle:
 	}
 }
 
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -53,6 +54,8 @@
 	otherWeights bool
 	// broke is set if the connection ended before the response did, for no reason of the gateway or the client.
 	broke bool
+	// response is a complete response that is not written to the client yet.
+	response *response
 	// errorResponse is the upstream's error response, which the client receives if no attempt succeeds.
 	errorResponse *response
 	// detail and err describe the result in the log.
@@ -165,6 +168,9 @@
 	switch {
 	case errors.Is(err, errClientWrite):
 		out.feedback, out.clientLeft, out.detail = admitter.Cancelled{}, true, "client left"
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			out.detail = "the client did not read the response in time"
+		}
 	case clientCtx.Err() != nil:
 		out.feedback, out.detail = admitter.Cancelled{}, "client left"
 		out.unsent = errors.Is(err, requester.ErrNotSent)
@@ -277,9 +283,7 @@
 		}
 		return out
 	}
-	resp.write(s.writer)
-	f.logEnd(c, resp.status, "complete")
-	return attemptResult{feedback: f.servedFeedback(got, sent, time.Since(sent)), complete: true}
+	return attemptResult{feedback: f.servedFeedback(got, sent, time.Since(sent)), complete: true, response: resp}
 }
 
 // recordLimit passes the rate limit that the latest response names to the admitter. An invalid one says nothing.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -39,6 +39,8 @@
 	onTimeDivisor = 2
 	// responseMargin is reserved before the deadline, so that the gateway's final response still reaches the client.
 	responseMargin = 15 * time.Millisecond
+	// writeMargin is how long after the deadline the response may still be written.
+	writeMargin = 200 * time.Millisecond
 	// clientRetryRatio detects client retries: a request that arrives with less time left than this part of its route's
 	// timeout counts as one. Clients honour a Retry-After of up to a third of their time.
 	clientRetryRatio = 0.75
@@ -225,6 +227,7 @@
 // ServeHTTP serves one request of a client.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: r.Header.Get(f.cfg.Names.RequestID), arrived: time.Now(), tried: map[identifier.Upstream]bool{}}
+	limitWrites(w, c.arrived.Add(defaultDeadline))
 	f.cfg.Meter.Increment(meter.GatewayRequests)
 	if f.stopping() {
 		w.Header().Set("Connection", "close")
@@ -244,6 +247,7 @@
 		return
 	}
 	f.setDeadlines(c, r)
+	limitWrites(w, c.deadline.Add(writeMargin))
 	c.prompt.Request = requestPart(c, r)
 	ctx, cancel := f.requestContext(r.Context(), c.deadline)
 	defer cancel()
@@ -251,6 +255,12 @@
 	f.serve(ctx, w, r, c)
 }
 
+// limitWrites sets the time by which the client has to have read the response. A client that stops reading would keep the
+// slot of its upstream for as long as it is connected. Other writers than connections have no limit.
+func limitWrites(w http.ResponseWriter, until time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(until)
+}
+
 // errStopping is the cause with which the contexts of open requests end before the process exits.
 var errStopping = errors.New("the process stops")
 
@@ -476,6 +486,11 @@
 	}
 	switch {
 	case result.complete:
+		// The upstream is free while the client reads.
+		if result.response != nil {
+			result.response.write(s.writer)
+			f.logEnd(c, result.response.status, "complete")
+		}
 		f.cfg.Meter.Increment(meter.GatewayServed)
 		return true
 	case result.clientLeft, hasClientLeft(ctx):
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -39,8 +39,9 @@
 
 // fixture is a forwarder with two upstreams, which record the requests that they receive.
 type fixture struct {
-	url string
-	mu  sync.Mutex
+	url     string
+	handler http.Handler
+	mu      sync.Mutex
 	// requests and bodies are those that the upstreams received.
 	requests []*http.Request
 	bodies   []string
@@ -133,7 +134,7 @@
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	f.url = server.URL
+	f.url, f.handler = server.URL, handler
 	return f
 }
 
