Be ready only with the list of upstreams

Callers saw: the first requests to a gateway that had just reported ready got 503 (noUpstream): it had read the configuration and not yet the list of upstreams.

Cause: readiness asked for a configuration only.

Change: a gateway is ready once a list of upstreams, be it empty, is applied as well.

Evidence: TestGatewayIsNotReadyWithoutTheListOfUpstreams failed before. In the same package TestGroupOpeningIsGossipedToPeers, which failed once when the second gateway heard of the first rejection before it had sent its own request, now holds the rejections back until both have arrived; and a failed test prints the last lines of its gateways.

--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -120,6 +120,8 @@
 	retainedRows map[replicator.Table]int
 	// disprovals is the number of disprovals after which the rows were last applied.
 	disprovals int
+	// hasUpstreams is set once a list of upstreams was applied.
+	hasUpstreams atomic.Bool
 	// ready is the result of the last readiness check.
 	ready atomic.Bool
 	// tablesChanged wakes applyTables; it is buffered, so that changes in quick succession are applied together.
@@ -508,6 +510,7 @@
 	if n := g.replicator.Disprovals(); n != g.disprovals {
 		g.disprovals, previous = n, &cataloguer.Fleet{}
 	}
+	hasUpstreams := g.replicator.Version(platform.UpstreamTable) > 0
 	fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
 		g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
 	problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
@@ -515,6 +518,9 @@
 	g.fleet.Store(&fleet)
 	g.groups.retain(fleet.Upstreams)
 	g.admitter.SetFleet(time.Now(), fleet)
+	if hasUpstreams {
+		g.hasUpstreams.Store(true)
+	}
 	version, anonymous := uint64(0), false
 	if fleet.Catalogue != nil {
 		version, anonymous = uint64(fleet.Catalogue.Version()), fleet.Catalogue.AllowsAnonymous()
--- a/internal/process/gatewayrunner/gatewayrunner_test.go
+++ b/internal/process/gatewayrunner/gatewayrunner_test.go
@@ -23,14 +23,19 @@
 	"currantledge.example/currantledge/internal/standin/storeserver"
 )
 
-const timeout = 10 * time.Second
+const (
+	timeout = 10 * time.Second
+	// maxLoggedBytes bounds the log of a gateway that a failed test prints.
+	maxLoggedBytes = 20000
+)
 
 // storeProxy passes calls on to the store. While it is unavailable it rejects them; while it is silent they get no
-// response.
+// response. While it hides upstreams it rejects calls that concern them.
 type storeProxy struct {
-	store       *storeserver.Server
-	unavailable atomic.Bool
-	silent      atomic.Bool
+	store          *storeserver.Server
+	unavailable    atomic.Bool
+	silent         atomic.Bool
+	hidesUpstreams atomic.Bool
 }
 
 func (p *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -39,7 +44,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if p.unavailable.Load() {
+	if p.unavailable.Load() || p.hidesUpstreams.Load() && r.URL.Query().Get("table") == "servers" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -60,6 +65,8 @@
 	// closed makes the upstream reject requests as a rank of a closed group does. Requests whose id begins with "rejected"
 	// are rejected in any case.
 	closed bool
+	// awaited holds back rejections until that many requests have arrived.
+	awaited sync.WaitGroup
 	// limit is the rate limit that the upstream names in its responses, or empty.
 	limit string
 }
@@ -94,6 +101,10 @@
 	if limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
+	if r.Header.Get("Test-Barrier") != "" {
+		d.awaited.Done()
+		d.awaited.Wait()
+	}
 	if closed {
 		w.Header().Set("Not-Run", "1")
 		w.Header().Set("Runner-Load", "0,0,4")
@@ -187,6 +198,10 @@
 		g.done <- gatewayrunner.Run(ctx, gatewayrunner.Config{SettingsPath: path, Output: g.log, LogLevel: zerolog.InfoLevel})
 	}()
 	t.Cleanup(func() {
+		if t.Failed() {
+			text := g.log.String()
+			t.Logf("the last lines of the gateway on %s:\n%s", host, text[max(0, len(text)-maxLoggedBytes):])
+		}
 		cancel()
 		select {
 		case err := <-g.done:
@@ -323,6 +338,24 @@
 	require.Equal(t, http.StatusNotFound, code)
 }
 
+// Guards against clients that are sent to a gateway which refuses them since it has not read the list of upstreams yet.
+func TestGatewayIsNotReadyWithoutTheListOfUpstreams(t *testing.T) {
+	d := newDeployment(t)
+	d.register()
+	d.configure(1, "/a/")
+	proxy := &storeProxy{store: d.store}
+	proxy.hidesUpstreams.Store(true)
+	server := httptest.NewServer(proxy)
+	t.Cleanup(server.Close)
+	g := d.start(t, "127.0.0.1", 17364, "", strings.TrimPrefix(server.URL, "http://"))
+	require.Eventually(t, func() bool { return strings.Contains(g.log.String(), `"configVersion":1`) }, timeout, 10*time.Millisecond)
+	require.Never(t, func() bool { return g.isReady(t) }, 500*time.Millisecond, 20*time.Millisecond)
+	proxy.hidesUpstreams.Store(false)
+	require.Eventually(t, func() bool { return g.isReady(t) }, timeout, time.Millisecond)
+	code, _ := g.send(t, "/a/", "1")
+	require.Equal(t, http.StatusOK, code)
+}
+
 // Guards against a new configuration that is not in force within 2 s, since the store has just fallen silent for the only
 // gateway that follows it.
 func TestConfigurationIsAppliedWhenTheFollowersStoreFallsSilent(t *testing.T) {
@@ -364,8 +397,12 @@
 		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), "peer gateway is live") }, timeout, 10*time.Millisecond)
 	}
 	d.setClosed(true)
+	// A gateway that hears of the first rejection before its own request is sent gets none.
+	d.awaited.Add(len(gateways))
 	for i, g := range gateways {
-		go g.send(t, "/a/", fmt.Sprint("rejected", i))
+		go g.sendWith(t, "/a/", fmt.Sprint("rejected", i), http.Header{"Test-Barrier": {"1"}})
+	}
+	for _, g := range gateways {
 		require.Eventually(t, func() bool { return strings.Contains(g.log.String(), `"cause":"rejection"`) }, timeout, 10*time.Millisecond)
 	}
 	d.setClosed(false)
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -65,14 +65,14 @@
 	return err
 }
 
-// serveReady answers the readiness checks of the platform. The gateway is ready while it has a configuration and is not
-// stopping.
+// serveReady answers the readiness checks of the platform. The gateway is ready while it has a configuration and the list
+// of upstreams and is not stopping.
 func (g *gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath {
 		http.NotFound(w, r)
 		return
 	}
-	ready := g.servedFleet().Catalogue != nil && !g.isStopping()
+	ready := g.servedFleet().Catalogue != nil && g.hasUpstreams.Load() && !g.isStopping()
 	if g.ready.Swap(ready) != ready {
 		g.log.Event(logger.EventReadyChanged).Bool("ready", ready).Send()
 	}
--- a/internal/version/replicator/changes.go
+++ b/internal/version/replicator/changes.go
@@ -89,6 +89,7 @@
 		}
 	}
 	deferDeletions = deferDeletions && now.Before(r.graceUntil)
+	isFirst := c.version == 0 && in.Version > 0
 	_, changed := r.merge(now, t, rows, deferDeletions)
 	for _, change := range in.List {
 		if change.DeferFor > 0 && r.deferFromPeer(now, t, change) {
@@ -100,7 +101,7 @@
 	}
 	c.raise(now, in.Version)
 	r.mu.Unlock()
-	if changed {
+	if changed || isFirst {
 		r.onChange(t)
 	}
 }
--- a/internal/version/replicator/replicator.go
+++ b/internal/version/replicator/replicator.go
@@ -237,6 +237,7 @@
 	if wasRestored {
 		r.startGrace(now)
 	}
+	isFirst := !c.wasRead
 	c.wasRead, c.readEra = true, max(c.readEra, EraOf(version))
 	c.raise(now, version)
 	c.deletionsSince = max(c.deletionsSince, version)
@@ -245,7 +246,8 @@
 	ignored, changed := r.merge(now, t, rows, deferDeletions)
 	_, deleted := r.merge(now, t, missing, deferDeletions || wasRestored)
 	r.mu.Unlock()
-	if changed || deleted {
+	// An empty table is news, too.
+	if changed || deleted || isFirst {
 		r.onChange(t)
 	}
 	return ignored
