Let the store be restored in the test of convergence

Cause: whether copies also converge after a restoration of the store was only read.

Change: the table of TestCopiesConvergeAfterTheLastDeferral is saved and restored at random moments, in a new era.

--- a/internal/version/replicator/convergence_test.go
+++ b/internal/version/replicator/convergence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -12,19 +13,45 @@
 	"currantledge.example/currantledge/internal/version/replicator"
 )
 
-// grace is longer than deletions are deferred.
-const grace = 3 * time.Second
+// grace is longer than deletions are deferred and rows of an earlier era are retained.
+const grace = 40 * time.Second
 
 // storeTable is a table of the platform's store with its history.
 type storeTable struct {
-	version uint64
+	era     replicator.Era
+	counter uint64
 	rows    map[string]replicator.Row
 	history []replicator.Row
+	// saved is the copy from which the store may be restored.
+	saved *storeTable
+}
+
+// version returns the version of the latest change.
+func (s *storeTable) version() uint64 {
+	return replicator.NewVersion(s.era, s.counter)
+}
+
+// save makes the copy.
+func (s *storeTable) save() {
+	s.saved = &storeTable{counter: s.counter, rows: maps.Clone(s.rows)}
+}
+
+// restore restores the store from the copy. It gives out the versions since then again, in a new era.
+func (s *storeTable) restore() {
+	if s.saved == nil {
+		return
+	}
+	s.era++
+	s.counter, s.rows, s.history = s.saved.counter, map[string]replicator.Row{}, nil
+	for key, row := range s.saved.rows {
+		row.Version = replicator.NewVersion(s.era, replicator.CounterOf(row.Version))
+		s.rows[key] = row
+	}
 }
 
 func (s *storeTable) write(key string) {
-	s.version++
-	s.rows[key] = liveRow(key, s.version)
+	s.counter++
+	s.rows[key] = liveRow(key, s.version())
 	s.history = append(s.history, s.rows[key])
 }
 
@@ -32,9 +59,9 @@
 	if _, found := s.rows[key]; !found {
 		return
 	}
-	s.version++
+	s.counter++
 	delete(s.rows, key)
-	s.history = append(s.history, tombstone(key, s.version))
+	s.history = append(s.history, tombstone(key, s.version()))
 }
 
 func (s *storeTable) list() []replicator.Row {
@@ -64,17 +91,21 @@
 	return c
 }
 
-// follow makes a follower fetch the changes of the store.
+// follow makes a follower fetch the changes of the store, or the whole table if the store was restored.
 func (c *copies) follow(i int) {
+	if replicator.EraOf(c.followed[i]) != c.store.era {
+		c.read(i)
+		return
+	}
 	rows := slices.DeleteFunc(slices.Clone(c.store.history), func(row replicator.Row) bool { return row.Version <= c.followed[i] })
 	c.all[i].Merge(c.now, table, rows, true)
-	c.followed[i] = c.store.version
+	c.followed[i] = c.store.version()
 }
 
 // read makes a follower read the whole table, as after a start or a loss of the history.
 func (c *copies) read(i int) {
-	c.all[i].Replace(c.now, table, c.store.list(), c.store.version, true)
-	c.followed[i] = c.store.version
+	c.all[i].Replace(c.now, table, c.store.list(), c.store.version(), true)
+	c.followed[i] = c.store.version()
 }
 
 // pull makes a copy fetch one page of changes from another one that has a higher version.
@@ -110,7 +141,8 @@
 }
 
 // Guards against copies that differ for good, whatever arrives where and in whatever order: after outages that one
-// follower notices and another one does not, with gateways that start meanwhile, full reads and responses in pages.
+// follower notices and another one does not, with gateways that start meanwhile, full reads, responses in pages and
+// restorations of the store.
 func TestCopiesConvergeAfterTheLastDeferral(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -119,7 +151,7 @@
 		copyIndex := rapid.IntRange(0, len(c.all)-1)
 		follower := rapid.IntRange(0, followers-1)
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
 			case 0, 1:
 				c.store.write(key())
 			case 2, 3:
@@ -139,6 +171,10 @@
 			case 8:
 				c.pull(copyIndex.Draw(t, "to"), copyIndex.Draw(t, "from"), rapid.SampledFrom([]int{1, 60, pageBytes}).Draw(t, "page"))
 			case 9:
+				c.store.save()
+			case 10:
+				c.store.restore()
+			case 11:
 				c.pass(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			}
 		}
