Call the store again once it serves another gateway

Callers saw: for up to 2.3 s after an outage of the store, the list of upstreams and the configuration of a gateway that follows it stayed as they were, and the grace period for deletions started that late.

Cause: after a call without a response the follower waited for its backoff of up to 0.8 s, although the gossip of others showed that the store was back.

Change: the backoff ends when the store has served another gateway since the failed call started, at most every 2 s, since the store may refuse this gateway only.

Evidence: TestBackoffEndsWhenTheStoreServesOthers failed before; it also bounds the calls of a gateway that is refused alone.

--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -24,6 +24,8 @@
 	// minBackoff and maxBackoff bound the time before the next call after a failed one.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// earlyRetryInterval is the least time between two backoffs that are cut short.
+	earlyRetryInterval = 2 * time.Second
 	// idlePollInterval is how often a process that does not follow the store checks whether it has to.
 	idlePollInterval = 100 * time.Millisecond
 	// failureExpiry is how long after the last failed call a process that no longer follows the store stops reporting it
@@ -88,6 +90,8 @@
 	// lostAloneSince is when a failed call first showed that the store responds to others; zero if none did since the last
 	// response.
 	lostAloneSince time.Time
+	// retriedEarlyAt is when a backoff was last cut short.
+	retriedEarlyAt time.Time
 }
 
 // New returns a Follower that starts with a full read.
@@ -113,16 +117,32 @@
 			f.idle(ctx)
 			continue
 		}
-		err := f.poll(ctx)
-		delay := callInterval
-		if err != nil && ctx.Err() == nil {
-			delay = f.recordFailure(err)
+		started := time.Now()
+		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+			f.backOff(ctx, f.recordFailure(err), started)
+			continue
 		}
-		waiter.For(ctx, delay)
+		waiter.For(ctx, callInterval)
 	}
 	return nil
 }
 
+// backOff waits before the next call after one that has failed. If another process gets a response meanwhile, the store is
+// probably back: the wait then ends early, but seldom, since the store may refuse this process only.
+func (f *Follower) backOff(ctx context.Context, wait time.Duration, failedCall time.Time) {
+	end := time.Now().Add(wait)
+	for {
+		left := time.Until(end)
+		if !waiter.For(ctx, min(left, minBackoff)) || left <= minBackoff {
+			return
+		}
+		if now := time.Now(); now.Sub(f.retriedEarlyAt) >= earlyRetryInterval && f.cfg.StoreServesPeers(failedCall) {
+			f.retriedEarlyAt = now
+			return
+		}
+	}
+}
+
 // idle waits for idlePollInterval while another process follows the store. Rows from peers count as read, so that
 // following continues after them.
 func (f *Follower) idle(ctx context.Context) {
--- a/internal/version/follower/follower_test.go
+++ b/internal/version/follower/follower_test.go
@@ -227,3 +227,41 @@
 		})
 	}
 }
+
+// Guards against a configuration, or the end of an upstream, that is noticed late after an outage since the process waits
+// although others have shown that the store is back, and against many calls to a store that refuses this process only.
+func TestBackoffEndsWhenTheStoreServesOthers(t *testing.T) {
+	t.Parallel()
+	for _, aloneLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const lostAt, backAt = time.Second, 9 * time.Second
+			s := &store{}
+			s.put("a")
+			r := replicator.New(replicator.Config{})
+			started := time.Now()
+			f := follower.New(follower.Config{
+				Store: s, Replicator: r, Table: table, ShouldFollow: always,
+				StoreServesPeers: func(time.Time) bool { at := time.Since(started); return aloneLost || at < lostAt || at >= backAt },
+				Log:              logger.Discard(), Meter: meter.New(),
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { _ = f.Run(ctx) })
+			time.Sleep(lostAt)
+			s.fail(replicator.ErrRefused)
+			time.Sleep(backAt - lostAt - time.Millisecond)
+			_, follows := s.calls()
+			if aloneLost {
+				require.LessOrEqual(t, follows, 120, "about 100 during the first second, then 1.25 a second and one in two seconds")
+			}
+			s.fail(nil)
+			s.put("b")
+			time.Sleep(200 * time.Millisecond)
+			if !aloneLost {
+				require.Len(t, r.Rows(table), 2)
+			}
+			cancel()
+			running.Wait()
+		})
+	}
+}
