Send deletions of uncertain version with the first page

Cause: a deletion that is read off a full read gets the version of the read, which may be later than its own. A copy that took a first page up to a version between the two did not get it, and another source saw no reason to send it again. Once it had it, the later version of the deletion was taken for the version of the copy, which then missed other rows.

Change: deletions beyond the version of the sender's copy, and all deferred ones if the receiver's deletions may be incomplete, are sent with each page, and only the version of the page raises that of the receiving copy.

Evidence: TestFirstPageHoldsDeferredDeletions failed before.

--- a/internal/version/replicator/changes.go
+++ b/internal/version/replicator/changes.go
@@ -15,7 +15,7 @@
 
 // Changes are the changes of a table after a version, up to Version.
 type Changes struct {
-	// List is ordered by version.
+	// List holds the rows and tombstones up to Version, ordered by version, then deletions that may have later versions.
 	List    []Change
 	Version uint64
 	// LacksDeletions is set if the sender may not know all deletions after the requested version. Keys then holds the key of
@@ -34,24 +34,27 @@
 	defer r.mu.Unlock()
 	c := r.table(t)
 	out := Changes{Version: c.version, LacksDeletions: version < c.deletionsSince}
-	add := func(row Row, deferFor time.Duration) {
-		if row.Version > version {
-			out.List = append(out.List, Change{Row: row, DeferFor: deferFor})
+	// A deletion that was read off a full read has a later version than it had. A copy that got it with an earlier page has it
+	// beyond its own version.
+	var early []Change
+	add := func(row Row) {
+		switch {
+		case row.Version > c.version:
+			early = append(early, Change{Row: row})
+		case row.Version > version:
+			out.List = append(out.List, Change{Row: row})
 		}
 	}
 	for key, row := range c.rows {
-		add(row, 0)
+		add(row)
 		restored, isRetained := c.restored[key]
 		if isRetained {
-			add(restored, 0)
+			add(restored)
 		}
 		if out.LacksDeletions && (!row.Deleted || isRetained && !restored.Deleted) {
 			out.Keys = append(out.Keys, key)
 		}
 	}
-	for _, d := range c.deferred {
-		add(d.row, max(d.until.Sub(now), 1))
-	}
 	slices.SortFunc(out.List, func(a, b Change) int {
 		return cmp.Or(cmp.Compare(a.Row.Version, b.Row.Version), cmp.Compare(a.Row.Key, b.Row.Key))
 	})
@@ -66,6 +69,13 @@
 		}
 		size += len(change.Row.Key) + len(change.Row.Value) + changeOverhead
 	}
+	// These do not wait for their page: another source of the next page would not send them again.
+	out.List = append(out.List, early...)
+	for _, d := range c.deferred {
+		if out.LacksDeletions || d.row.Version > version {
+			out.List = append(out.List, Change{Row: d.row, DeferFor: max(d.until.Sub(now), 1)})
+		}
+	}
 	return out
 }
 
@@ -86,10 +96,14 @@
 		in.List = slices.DeleteFunc(slices.Clone(in.List), func(change Change) bool { return isFalse(change.Row.Version) })
 		if isFalse(in.Version) {
 			in.Version, in.LacksDeletions = 0, false
+			for _, row := range rows {
+				in.Version = max(in.Version, row.Version)
+			}
 		}
 	}
 	deferDeletions = deferDeletions && now.Before(r.graceUntil)
 	isFirst := c.version == 0 && in.Version > 0
+	c.raise(now, in.Version)
 	_, changed := r.merge(now, t, rows, deferDeletions)
 	for _, change := range in.List {
 		if change.DeferFor > 0 && r.deferFromPeer(now, t, change) {
@@ -99,7 +113,6 @@
 	if in.LacksDeletions && r.deleteMissing(now, t, in, deferDeletions) {
 		changed = true
 	}
-	c.raise(now, in.Version)
 	r.mu.Unlock()
 	if changed || isFirst {
 		r.onChange(t)
@@ -111,15 +124,13 @@
 func (r *Replicator) deferFromPeer(now time.Time, t Table, change Change) bool {
 	c := r.table(t)
 	row := change.Row
-	c.raise(now, row.Version)
 	known, found := c.stored(row.Key)
-	switch {
-	case found && known.Version >= row.Version:
-		return false
-	case !found || known.Deleted:
+	if !found || known.Deleted {
 		// There is no row to keep.
-		_, changed := r.merge(now, t, []Row{row}, false)
-		return changed
+		return c.remove(row)
+	}
+	if known.Version >= row.Version {
+		return false
 	}
 	if row.Replaced == 0 {
 		row.Replaced = known.Version
--- a/internal/version/replicator/convergence_test.go
+++ b/internal/version/replicator/convergence_test.go
@@ -209,6 +209,27 @@
 	}
 }
 
+// Guards against a copy that keeps a row because it got the first page of changes from a copy that knows only that the row
+// is gone, not since when, and the rest from another one.
+func TestFirstPageHoldsDeferredDeletions(t *testing.T) {
+	t.Parallel()
+	c := newCopies(3)
+	c.store.write("leaving")
+	c.follow(0)
+	c.follow(1)
+	c.all[1].PlatformRecovered(c.now)
+	c.store.remove("leaving")
+	c.store.write("b")
+	c.store.write("a")
+	c.read(1)
+	c.follow(0)
+	c.pull(2, 1, 60)
+	require.Less(t, c.all[2].Version(table), c.store.version())
+	c.pull(2, 0, pageBytes)
+	c.pass(grace)
+	require.ElementsMatch(t, c.store.list(), c.all[2].Rows(table))
+}
+
 // Guards against copies that keep a row whose tombstone their source has trimmed or never had.
 func TestDeletionsWithoutATombstoneArrive(t *testing.T) {
 	t.Parallel()
--- a/internal/version/replicator/replicator.go
+++ b/internal/version/replicator/replicator.go
@@ -137,6 +137,7 @@
 // rows that it ignored because those of the copy have a higher version.
 func (r *Replicator) Merge(now time.Time, t Table, rows []Row, deferDeletions bool) (ignored []Row) {
 	r.mu.Lock()
+	r.table(t).raiseTo(now, rows)
 	ignored, changed := r.merge(now, t, rows, deferDeletions && now.Before(r.graceUntil))
 	r.mu.Unlock()
 	if changed {
@@ -145,11 +146,11 @@
 	return ignored
 }
 
-// merge merges rows and reports whether the copy has changed. It is called with the lock held.
+// merge merges rows and reports whether the copy has changed. It does not raise the version of the copy. It is called with
+// the lock held.
 func (r *Replicator) merge(now time.Time, t Table, rows []Row, deferDeletions bool) (ignored []Row, changed bool) {
 	c := r.table(t)
 	for _, row := range rows {
-		c.raise(now, row.Version)
 		known, found := c.stored(row.Key)
 		if found && known.Version >= row.Version {
 			if r.retainLate(now, t, row) {
@@ -240,6 +241,7 @@
 	isFirst := !c.wasRead
 	c.wasRead, c.readEra = true, max(c.readEra, EraOf(version))
 	c.raise(now, version)
+	c.raiseTo(now, rows)
 	c.deletionsSince = max(c.deletionsSince, version)
 	missing := c.missing(present, version)
 	deferDeletions = deferDeletions && now.Before(r.graceUntil)
@@ -295,16 +297,13 @@
 	var changed []Table
 	for t, c := range r.tables {
 		isChanged := false
-		var due []Row
 		for key, d := range c.deferred {
 			if !now.Before(d.until) {
-				due = append(due, d.row)
 				delete(c.deferred, key)
+				isChanged = c.remove(d.row) || isChanged
 			}
 		}
-		if len(due) > 0 {
-			_, isChanged = r.merge(now, t, due, false)
-		}
+		c.trim()
 		if len(c.restored) > 0 && !now.Before(c.retainedUntil) {
 			for _, row := range c.restored {
 				c.set(row)
@@ -372,6 +371,13 @@
 	c.version = max(c.version, version)
 }
 
+// raiseTo records the versions of rows that were received.
+func (c *tableCopy) raiseTo(now time.Time, rows []Row) {
+	for _, row := range rows {
+		c.raise(now, row.Version)
+	}
+}
+
 // deferDeletion defers a deletion, unless a later one of the row is deferred.
 func (c *tableCopy) deferDeletion(row Row, until time.Time) {
 	if waiting, isDeferred := c.deferred[row.Key]; !isDeferred || waiting.row.Version < row.Version {
@@ -379,6 +385,16 @@
 	}
 }
 
+// remove applies a deletion whose version says nothing about other changes, and reports whether it is newer than the row.
+func (c *tableCopy) remove(row Row) bool {
+	if known, found := c.stored(row.Key); found && known.Version >= row.Version {
+		return false
+	}
+	delete(c.restored, row.Key)
+	c.set(row)
+	return true
+}
+
 // missing returns a deletion, at a version, of each row up to that version whose key is not present.
 func (c *tableCopy) missing(present map[string]bool, version uint64) []Row {
 	var out []Row
