Count the time to write a response from its start

Callers would see: a response that a busy gateway begins more than 0.2 s after the deadline, a refusal that says not-run among them, ends with a closed connection.

Change: 0.5 s from the deadline, or from the start of a final response that begins later.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -39,8 +39,9 @@
 	onTimeDivisor = 2
 	// responseMargin is reserved before the deadline, so that the gateway's final response still reaches the client.
 	responseMargin = 15 * time.Millisecond
-	// writeMargin is how long after the deadline the response may still be written.
-	writeMargin = 200 * time.Millisecond
+	// writeMargin is how long after the deadline, or after the start of a write that begins later, the client has to have
+	// read the response.
+	writeMargin = 500 * time.Millisecond
 	// clientRetryRatio detects client retries: a request that arrives with less time left than this part of its route's
 	// timeout counts as one. Clients honour a Retry-After of up to a third of their time.
 	clientRetryRatio = 0.75
@@ -227,7 +228,8 @@
 // ServeHTTP serves one request of a client.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: r.Header.Get(f.cfg.Names.RequestID), arrived: time.Now(), tried: map[identifier.Upstream]bool{}}
-	limitWrites(w, c.arrived.Add(defaultDeadline))
+	c.deadline = c.arrived.Add(defaultDeadline)
+	limitWrites(w, c)
 	f.cfg.Meter.Increment(meter.GatewayRequests)
 	if f.stopping() {
 		w.Header().Set("Connection", "close")
@@ -247,7 +249,7 @@
 		return
 	}
 	f.setDeadlines(c, r)
-	limitWrites(w, c.deadline.Add(writeMargin))
+	limitWrites(w, c)
 	c.prompt.Request = requestPart(c, r)
 	ctx, cancel := f.requestContext(r.Context(), c.deadline)
 	defer cancel()
@@ -255,10 +257,14 @@
 	f.serve(ctx, w, r, c)
 }
 
-// limitWrites sets the time by which the client has to have read the response. A client that stops reading would keep the
-// slot of its upstream for as long as it is connected. Other writers than connections have no limit.
-func limitWrites(w http.ResponseWriter, until time.Time) {
-	_ = http.NewResponseController(w).SetWriteDeadline(until)
+// limitWrites sets the time by which the client has to have read what is written next. A client that stops reading would
+// keep the slot of its upstream for as long as it is connected. Other writers than connections have no limit.
+func limitWrites(w http.ResponseWriter, c *call) {
+	until := c.deadline
+	if now := time.Now(); now.After(until) {
+		until = now
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(until.Add(writeMargin))
 }
 
 // errStopping is the cause with which the contexts of open requests end before the process exits.
@@ -488,6 +494,7 @@
 	case result.complete:
 		// The upstream is free while the client reads.
 		if result.response != nil {
+			limitWrites(s.writer, c)
 			result.response.write(s.writer)
 			f.logEnd(c, result.response.status, "complete")
 		}
@@ -565,6 +572,7 @@
 	if s.started {
 		f.abort(c, reason)
 	}
+	limitWrites(s.writer, c)
 	if c.lastErrorResponse != nil {
 		c.lastErrorResponse.write(s.writer)
 		f.logEnd(c, c.lastErrorResponse.status, reason)
@@ -591,6 +599,7 @@
 // refuse ends a request that has not run and will not run. The response has a Retry-After.
 func (f *Forwarder) refuse(w http.ResponseWriter, c *call, reason string, retryAfter time.Duration) {
 	f.cfg.Meter.Increment(meter.GatewayRefused)
+	limitWrites(w, c)
 	f.logEnd(c, http.StatusServiceUnavailable, reason)
 	w.Header().Set(retryAfterHeader, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -601,6 +610,7 @@
 // reject ends an invalid request with an error status.
 func (f *Forwarder) reject(w http.ResponseWriter, c *call, rejected rejection) {
 	f.cfg.Meter.Increment(meter.GatewayRejected)
+	limitWrites(w, c)
 	reason := rejected.message
 	if rejected.detail != "" {
 		reason += " (" + rejected.detail + ")"
