Keep clear of earlier holds only after a change of leader

Cause: the first switch of a leader was planned up to two passes later, to keep clear of the steps that an earlier leader may have named, also if there was none.

Change: the lease knows whether it was ever held before.

--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -60,6 +60,8 @@
 	renewedAt time.Duration
 	// resigned is the version of the row that this process last resigned without a write to the row, or 0.
 	resigned uint64
+	// isFirst is set if no process had held the lease when this one acquired it.
+	isFirst bool
 	// observedVersion is the newest version that another process holds, and observedAt when it was first read.
 	observedVersion uint64
 	observedAt      time.Duration
@@ -163,9 +165,19 @@
 	if !l.isFree(row) {
 		return false, nil
 	}
+	l.mu.Lock()
+	l.isFirst = replicator.CounterOf(row.Version) == 0
+	l.mu.Unlock()
 	return l.write(ctx, row.Version, false)
 }
 
+// IsFirst reports whether this process acquired the lease as the first one.
+func (l *Lease) IsFirst() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFirst
+}
+
 // isFree reports whether no process holds the version of the row: it was never written, its holder released or resigned
 // it, belongs to this node or is dead, or its term has ended since this process first read it. isFree records the time of
 // this first read.
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -263,6 +263,9 @@
 func (l *Leader) newManagedGroup(ctx context.Context, st *serviceState, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
 	if st.holds[id] == nil {
 		st.holds[id] = mapswitcher.NewHoldLedger()
+		if l.cfg.Lease.IsFirst() {
+			st.holds[id] = mapswitcher.NewFirstHoldLedger()
+		}
 	}
 	g := &managedGroup{
 		service: st.Service,
--- a/internal/version/mapswitcher/stray.go
+++ b/internal/version/mapswitcher/stray.go
@@ -24,13 +24,20 @@
 	// epoch is the epoch of the last hold, and nextStep the first step in it that no order has named.
 	epoch    Epoch
 	nextStep identifier.Step
+	// isFirst is set if no other leader can have ordered holds before.
+	isFirst bool
 }
 
-// NewHoldLedger returns an empty HoldLedger.
+// NewHoldLedger returns an empty HoldLedger of a leader that may have followed another one.
 func NewHoldLedger() *HoldLedger {
 	return &HoldLedger{}
 }
 
+// NewFirstHoldLedger returns an empty HoldLedger of the first leader.
+func NewFirstHoldLedger() *HoldLedger {
+	return &HoldLedger{isFirst: true}
+}
+
 // inheritedSteps is the number of steps beyond stepsAhead that an earlier leader may have named: one for each hold that it
 // could not confirm.
 const inheritedSteps = 2
@@ -39,13 +46,15 @@
 // holds keep clear of the steps that an earlier leader may have named, since its orders may still be carried out. The
 // caller holds mu.
 func (l *HoldLedger) enter(epoch Epoch, current identifier.Step) {
-	switch l.epoch {
-	case epoch:
-	case 0:
-		l.epoch, l.nextStep = epoch, current+stepsAhead+inheritedSteps
+	switch {
+	case l.epoch == epoch:
+		return
+	case l.epoch == 0 && !l.isFirst:
+		l.nextStep = current + stepsAhead + inheritedSteps
 	default:
-		l.epoch, l.nextStep = epoch, 0
+		l.nextStep = 0
 	}
+	l.epoch = epoch
 }
 
 // chooseStep returns the step before which a group is held next; current is the step that began last.
