--- a/review/tool-2/deployment.go
+++ b/review/tool-2/deployment.go
@@ -119,9 +119,12 @@
 	return nil
 }
 
+// readyTimeout is how long the gateways may take until they are ready.
+const readyTimeout = 15 * time.Second
+
 // awaitReady waits until all gateways say that they are ready, and reports whether they did in time.
-func (d *deployment) awaitReady(limit time.Duration) bool {
-	end := time.Now().Add(limit)
+func (d *deployment) awaitReady() bool {
+	end := time.Now().Add(readyTimeout)
 	for _, g := range d.gateways {
 		for !g.isReady() {
 			if time.Now().After(end) {
--- a/review/tool-2/drill.go
+++ b/review/tool-2/drill.go
@@ -33,7 +33,7 @@
 	if err := d.startGateways(program, zones, nil); err != nil {
 		return statusNotRun, err
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return statusNotRun, fmt.Errorf("the gateways were not ready in time")
 	}
 	leaver := d.plain[len(d.plain)-1]
--- a/review/tool-2/gateway.go
+++ b/review/tool-2/gateway.go
@@ -44,12 +44,12 @@
 			if err != nil {
 				continue search
 			}
-			tcp.Close()
+			_ = tcp.Close()
 			udp, err := net.ListenPacket("udp", address)
 			if err != nil {
 				continue search
 			}
-			udp.Close()
+			_ = udp.Close()
 		}
 		return port, nil
 	}
@@ -176,7 +176,7 @@
 	g.signal(syscall.SIGCONT)
 	g.signal(syscall.SIGKILL)
 	<-g.done
-	g.log.Close()
+	_ = g.log.Close()
 }
 
 // selfEnds returns how often the process has ended by itself.
--- a/review/tool-2/group.go
+++ b/review/tool-2/group.go
@@ -71,23 +71,21 @@
 	group   *group
 	address string
 	// The fields below belong to the group's lock.
-	seq         int
-	version     uint64
-	highest     uint64
-	prepared    uint64
-	preparedAt  time.Time
-	armed       uint64
-	armedStep   uint64
-	held        bool
-	heldStep    uint64
-	current     expertMap
-	next        expertMap
-	counts      [][]float64
-	streams     map[*stream]bool
-	report      map[string]any
-	answers     int
-	spoiled     int
-	picksListed int
+	seq        int
+	version    uint64
+	highest    uint64
+	prepared   uint64
+	preparedAt time.Time
+	armed      uint64
+	armedStep  uint64
+	held       bool
+	heldStep   uint64
+	current    expertMap
+	next       expertMap
+	counts     [][]float64
+	streams    map[*stream]bool
+	report     map[string]any
+	answers    int
 }
 
 // group is a stand-in of a group of ranks that execute each pass together.
--- a/review/tool-2/shortcounts.go
+++ b/review/tool-2/shortcounts.go
@@ -23,7 +23,7 @@
 	d.group.spoilCounts = func(r *rank, raw []byte) []byte {
 		mu.Lock()
 		defer mu.Unlock()
-		answers := float64(d.group.answersOf(garbleRanks))
+		answers := float64(d.group.garblerAnswers())
 		if !garbling || r.number >= garbleRanks || float64(spoiled+1) > garbleShare*answers || !isSampledAfterShift(r) {
 			return raw
 		}
@@ -38,7 +38,7 @@
 	if err := d.startGateways(program, zones, nil); err != nil {
 		return statusNotRun, err
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return statusNotRun, fmt.Errorf("the gateways were not ready in time")
 	}
 	stop := make(chan struct{})
@@ -64,7 +64,7 @@
 		garbling = false
 		spoiledCount += spoiled
 		mu.Unlock()
-		answers += d.group.answersOf(garbleRanks)
+		answers += d.group.garblerAnswers()
 		if d.selfEnds() > 0 {
 			rec.add("a process has ended in window %d", n+1)
 			break
--- a/review/tool-2/spoiledlist.go
+++ b/review/tool-2/spoiledlist.go
@@ -29,7 +29,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		// One answer now, and a second one only once the share allows it.
-		if !garbling || r.number >= garbleRanks || spoiled > 0 && float64(spoiled+1) > garbleShare*float64(d.group.answersOf(garbleRanks)) {
+		if !garbling || r.number >= garbleRanks || spoiled > 0 && float64(spoiled+1) > garbleShare*float64(d.group.garblerAnswers()) {
 			return raw
 		}
 		wrong := spoilExpert(raw)
@@ -45,7 +45,7 @@
 	if err := d.startGateways(program, zones, nil); err != nil {
 		return statusNotRun, err
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return statusNotRun, fmt.Errorf("the gateways were not ready in time")
 	}
 	stop := make(chan struct{})
@@ -69,7 +69,7 @@
 	garbling = false
 	spoiledCount := spoiled
 	mu.Unlock()
-	answers := d.group.answersOf(garbleRanks)
+	answers := d.group.garblerAnswers()
 	rec.conclude("spoiled answers: %d of %d of the five ranks", spoiledCount, answers)
 	time.Sleep(6 * time.Second)
 	close(stop)
@@ -108,12 +108,12 @@
 	}
 }
 
-// answersOf returns the number of answers of the first ranks.
-func (g *group) answersOf(ranks int) int {
+// garblerAnswers returns the number of answers of the ranks that may spoil some.
+func (g *group) garblerAnswers() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := 0
-	for _, r := range g.ranks[:ranks] {
+	for _, r := range g.ranks[:garbleRanks] {
 		n += r.answers
 	}
 	return n
--- a/review/tool-2/staleleader.go
+++ b/review/tool-2/staleleader.go
@@ -95,7 +95,7 @@
 	if err := d.startGateways(program, zones, wrap); err != nil {
 		return statusNotRun, err
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return statusNotRun, fmt.Errorf("the gateways were not ready in time")
 	}
 	time.Sleep(2 * time.Second)
