--- a/review/tool-2/staleleader.go
+++ b/review/tool-2/staleleader.go
@@ -121,12 +121,12 @@
 	switch {
 	case trouble && l.frozenAt.IsZero():
 		return statusNotRun, fmt.Errorf("no leader held the group for a change of the map")
-	case passes == 0 || switches == 0:
-		return statusNotRun, fmt.Errorf("the group made no passes, or its map was never changed")
 	case len(violations) > 0:
 		rec.conclude("first: %s", violations[0])
 		rec.conclude("MAP is broken")
 		return statusBroken, nil
+	case passes == 0 || switches == 0:
+		return statusNotRun, fmt.Errorf("the group made no passes, or its map was never changed")
 	}
 	return statusHeld, nil
 }
