Break off responses that are reset while the request is being written

Clients saw: an upstream responded to a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. Cause: the kernel reports a reset to one system call only. Bodies above 4 KiB are written while the response is read; when the write received the error, the read returned the end of the stream, which ends a response without a length. Change: connection/resetdetector keeps the error of a failed write, and a read that finds the end of the stream returns that error. The requester uses it for all connections to upstreams. Why it works: a read finds that end without an orderly close only once the system call of the write has returned the error, and the read waits for the write to hand it over. EPIPE is left out: Linux reports it after a reset that follows an orderly close, so that early sound responses are still delivered. Measured: TestResponseThatIsResetDuringTheUploadIsNotComplete failed in 3 of 3 runs before and passes. TestEarlyResponseIsDelivered passes before and since.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/connection/resetdetector"
 	"currantledge.example/currantledge/internal/connection/statuschecker"
 )
 
@@ -98,7 +99,7 @@
 }
 
 type connection struct {
-	net.Conn
+	*resetdetector.Conn
 	reader *bufio.Reader
 	// limit bounds the bytes of the current head or body that are read from the socket; taken counts them.
 	limit int64
@@ -108,7 +109,7 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	c := &connection{Conn: raw}
+	c := &connection{Conn: resetdetector.New(raw)}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
@@ -214,7 +215,7 @@
 		}
 	} else {
 		go func() {
-			_, err := (&net.Buffers{head, q.Body}).WriteTo(conn.Conn)
+			_, err := conn.WriteBuffers(&net.Buffers{head, q.Body})
 			writeResult <- err
 		}()
 	}
@@ -363,7 +364,7 @@
 		list = list[:len(list)-1]
 		r.idle[address] = list
 		r.idleCount--
-		if now.Before(c.expires) && reusable(c.Conn) {
+		if now.Before(c.expires) && reusable(c) {
 			return c
 		}
 		_ = c.Close()
@@ -379,7 +380,7 @@
 	for address, list := range r.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.expires) && reusable(c.Conn) {
+			if now.Before(c.expires) && reusable(c) {
 				kept = append(kept, c)
 				continue
 			}
@@ -395,12 +396,8 @@
 }
 
 // reusable reports whether an idle connection is open and has received nothing, since such bytes belong to no request.
-func reusable(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
+func reusable(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/process/gatewayrunner/brokenresponse_test.go
+++ b/internal/process/gatewayrunner/brokenresponse_test.go
@@ -155,9 +155,42 @@
 	_ = c.Close()
 }
 
-// resets is how often a response is tried. A reset reaches the reader or the writer of a connection.
+// resetResponse returns a responder that begins a response without a length and resets the connection.
+func resetResponse(part string) rawResponder {
+	return func(c *net.TCPConn, valid string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+valid+"\r\n"+part)
+		reset(c)
+	}
+}
+
+// resets is how often a response is reset. A reset reaches the reader or the writer of a connection.
 const resets = 8
 
+// Guards against a client that gets the beginning of a response as the whole, since the upstream has reset the connection
+// while the gateway was still writing the request.
+func TestResponseThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	g, u := startBeforeRawUpstreams(t, "127.0.0.44", 17367)
+	large := strings.Repeat("y", 1<<20)
+	for i := range resets {
+		u.respond(resetResponse("part"), soundResponse)
+		got := g.upload(t, "non_idempotent", fmt.Sprint("once-", i), longUpload)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusBadGateway, got.code, got.body)
+		require.Equal(t, 1, u.received(), "the request may have run")
+
+		u.respond(resetResponse(large))
+		got = g.upload(t, "non_idempotent", fmt.Sprint("large-", i), longUpload)
+		require.Error(t, got.err, "status %d", got.code)
+
+		u.respond(resetResponse("id: 1\ndata: a\n\n"))
+		got = g.upload(t, "streaming", fmt.Sprint("stream-", i), longUpload)
+		require.Error(t, got.err, "status %d, body %q", got.code, got.body)
+	}
+	u.respond(resetResponse("part"), soundResponse)
+	require.Equal(t, uploaded{code: http.StatusOK, body: "fine"}, g.upload(t, "idempotent", "again", longUpload))
+	require.Equal(t, 2, u.received())
+}
+
 // Guards against a sound response that is lost because its upstream has not read the request to its end.
 func TestEarlyResponseIsDelivered(t *testing.T) {
 	g, u := startBeforeRawUpstreams(t, "127.0.0.45", 17368)
