Reject responses to all other clients that are reset during a request

Callers saw: a gateway or an agent took the beginning of a response for the whole if the server reset the connection while a long request was being written. An object or a row that had not been stored counted as stored, and an order to a rank as carried out.

--- a/internal/connection/statuschecker/statuschecker.go
+++ b/internal/connection/statuschecker/statuschecker.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"currantledge.example/currantledge/internal/connection/resetdetector"
 )
 
 const (
@@ -37,7 +39,8 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that returns an error for an invalid status and does not use the connection again.
+// Transport is an http.RoundTripper that returns an error for an invalid status and does not use the connection again. The
+// body of a response ends with an error if the connection broke, also during a write of the request.
 type Transport struct {
 	base *http.Transport
 }
@@ -54,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &connection{Conn: raw}, nil
+		return &connection{Conn: resetdetector.New(raw)}, nil
 	}
 	return &Transport{base: base}
 }
