Rename statuschecker to headchecker

Cause: the package checks the status of responses. Change: the package and its error, ErrInvalidStatus, have new names. No behaviour is changed.

--- a/internal/connection/driver/driver.go
+++ b/internal/connection/driver/driver.go
@@ -14,8 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/connection/messenger"
-	"currantledge.example/currantledge/internal/connection/statuschecker"
 )
 
 const (
@@ -55,7 +55,7 @@
 // newHTTPClient returns a client that does not follow redirects.
 func newHTTPClient(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     statuschecker.NewTransport(transport),
+		Transport:     headchecker.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/connection/statuschecker/statuschecker.go
+++ b/internal/connection/headchecker/headchecker.go
@@ -1,6 +1,6 @@
-// Package statuschecker rejects responses whose status HTTP does not define. What follows such a status cannot be
-// interpreted, so no later byte of its connection is a response.
-package statuschecker
+// Package headchecker rejects responses whose head HTTP does not allow. What follows such a head cannot be interpreted, so no
+// later byte of its connection is a response.
+package headchecker
 
 import (
 	"context"
@@ -22,8 +22,8 @@
 	minInformational = 100
 )
 
-// ErrInvalid marks errors of responses with an invalid status. The request may have run.
-var ErrInvalid = errors.New("invalid status of the response; check what serves at the address")
+// ErrInvalidStatus marks errors of responses with an invalid status. The request may have run.
+var ErrInvalidStatus = errors.New("invalid status of the response; check what serves at the address")
 
 // IsInformational reports whether a response with this status precedes the final one. 101 does not: it ends HTTP on its
 // connection, and no client of the system asks for that.
@@ -31,10 +31,10 @@
 	return status >= minInformational && status < minFinal && status != http.StatusSwitchingProtocols
 }
 
-// CheckFinal returns an error marked with ErrInvalid unless the status is that of a final response, 200 to 599.
+// CheckFinal returns an error marked with ErrInvalidStatus unless the status is that of a final response, 200 to 599.
 func CheckFinal(status int) error {
 	if status < minFinal || status > maxFinal {
-		return errors.Wrapf(ErrInvalid, "%03d", status)
+		return errors.Wrapf(ErrInvalidStatus, "%03d", status)
 	}
 	return nil
 }
@@ -110,7 +110,7 @@
 	err = CheckFinal(response.StatusCode)
 	if used != nil && used.invalid {
 		// The request could not be sent, since the connection was closed; the response was read ahead.
-		err = errors.Wrap(ErrInvalid, "an earlier response on the connection")
+		err = errors.Wrap(ErrInvalidStatus, "an earlier response on the connection")
 	}
 	if err == nil {
 		return response, nil
--- a/internal/connection/statuschecker/statuschecker_test.go
+++ b/internal/connection/headchecker/headchecker_test.go
@@ -1,4 +1,4 @@
-package statuschecker_test
+package headchecker_test
 
 import (
 	"fmt"
@@ -11,25 +11,25 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
-	"currantledge.example/currantledge/internal/connection/statuschecker"
+	"currantledge.example/currantledge/internal/connection/headchecker"
 )
 
 // Guards against a shifted bound of the valid statuses.
 func TestStatuses(t *testing.T) {
 	t.Parallel()
 	for status := -1; status <= 1000; status++ {
-		final := statuschecker.CheckFinal(status) == nil
+		final := headchecker.CheckFinal(status) == nil
 		require.Equal(t, status >= 200 && status <= 599, final, status)
-		require.Equal(t, status >= 100 && status <= 199 && status != 101, statuschecker.IsInformational(status), status)
+		require.Equal(t, status >= 100 && status <= 199 && status != 101, headchecker.IsInformational(status), status)
 	}
-	require.True(t, errors.Is(statuschecker.CheckFinal(0), statuschecker.ErrInvalid))
+	require.True(t, errors.Is(headchecker.CheckFinal(0), headchecker.ErrInvalidStatus))
 }
 
 // Guards against a valid response that is rejected, and against a connection that is not reused after one.
 func TestValidResponsesKeepTheConnection(t *testing.T) {
 	t.Parallel()
 	address, u := serve(t, "HTTP/1.1 103 X\r\n\r\n"+sound, "HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", sound)
-	transport := statuschecker.NewTransport(&http.Transport{})
+	transport := headchecker.NewTransport(&http.Transport{})
 	client := &http.Client{Transport: transport}
 	for _, status := range []int{200, 599, 200} {
 		got, err := client.Get("http://" + address)
@@ -51,7 +51,7 @@
 			t.Parallel()
 			invalid := fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n%s", status, forged)
 			address, _ := serve(t, sound, sound, invalid, forged)
-			client := &http.Client{Transport: statuschecker.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})}
+			client := &http.Client{Transport: headchecker.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})}
 			var complete, failed, wrong atomic.Int64
 			var all sync.WaitGroup
 			for range 4 {
--- a/internal/connection/statuschecker/reset_test.go
+++ b/internal/connection/headchecker/reset_test.go
@@ -1,4 +1,4 @@
-package statuschecker_test
+package headchecker_test
 
 import (
 	"bufio"
--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"currantledge.example/currantledge/internal/connection/statuschecker"
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/version/replicator"
 )
 
@@ -110,7 +110,7 @@
 func New() *Relayer {
 	return &Relayer{client: &http.Client{
 		Timeout: pullTimeout,
-		Transport: statuschecker.NewTransport(&http.Transport{
+		Transport: headchecker.NewTransport(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxResponseHeaderBytes: maxHeadBytes,
 			DisableKeepAlives:      true,
--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -17,8 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/connection/resetdetector"
-	"currantledge.example/currantledge/internal/connection/statuschecker"
 )
 
 const (
@@ -257,8 +257,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !statuschecker.IsInformational(response.StatusCode) {
-			return response, statuschecker.CheckFinal(response.StatusCode)
+		if !headchecker.IsInformational(response.StatusCode) {
+			return response, headchecker.CheckFinal(response.StatusCode)
 		}
 	}
 }
--- a/internal/connection/storer/storer.go
+++ b/internal/connection/storer/storer.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"currantledge.example/currantledge/internal/connection/statuschecker"
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/process/identifier"
 )
 
@@ -72,7 +72,7 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	transport := statuschecker.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true})
+	transport := headchecker.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true})
 	return &Client{base: cfg.BaseURL, timeout: cfg.Timeout, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
-	"currantledge.example/currantledge/internal/connection/statuschecker"
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/loader"
 )
@@ -83,7 +83,7 @@
 	if !ok {
 		base = &http.Transport{Proxy: http.ProxyFromEnvironment}
 	}
-	return &http.Client{Transport: statuschecker.NewTransport(base)}
+	return &http.Client{Transport: headchecker.NewTransport(base)}
 }
 
 // exitCode prints the error or the help of a command and returns the exit code of the program.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -12,8 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/connection/requester"
-	"currantledge.example/currantledge/internal/connection/statuschecker"
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
@@ -186,7 +186,7 @@
 	case errors.Is(err, requester.ErrTooLarge), errors.Is(err, errEventTooLarge):
 		f.cfg.Meter.Increment(meter.GatewayOversized)
 		out.feedback, out.detail = admitter.Oversized{}, "response too large"
-	case errors.Is(err, statuschecker.ErrInvalid):
+	case errors.Is(err, headchecker.ErrInvalidStatus):
 		out.detail = "invalid status"
 	case s.screened.Load():
 		out.feedback, out.detail = admitter.Cancelled{}, "cancelled, since its prompt crashes upstreams"
