Reject responses with an invalid name of a field

Cause: the parser of net/http accepts blanks in the name of a field and takes it for a field of its own. Names with control bytes were rejected before. Change: headchecker.CheckFieldNames. Why it works: no response gets past the head, so neither its fields nor its body are used. A trial that also checked informational responses in the transport failed TestEndlessResponsesAreCut: net/http then no longer bounds their number. It was dropped.

--- a/internal/connection/headchecker/clients_test.go
+++ b/internal/connection/headchecker/clients_test.go
@@ -172,6 +172,32 @@
 	}
 }
 
+// Guards against a client that takes a response for an answer although the head has a field with an invalid name, or reuses
+// the connection on which it arrived.
+func TestClientsRejectInvalidFieldNames(t *testing.T) {
+	t.Parallel()
+	for name, newClient := range clients() {
+		for _, line := range []string{"Odd Name: x", "Odd : x", "Odd\x01: x"} {
+			invalid := "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}"
+			t.Run(fmt.Sprintf("%s, %q", name, line), func(t *testing.T) {
+				t.Parallel()
+				address, u := serve(t, invalid)
+				requireRejected(t, newClient(address), u, 1)
+			})
+			t.Run(fmt.Sprintf("%s, %q, kept", name, line), func(t *testing.T) {
+				t.Parallel()
+				address, u := serve(t, sound, invalid, sound)
+				send := newClient(address)
+				_ = send(t.Context())
+				if isClosed(u, time.Second/4) {
+					return // The client keeps no connections.
+				}
+				requireRejected(t, send, u, 2)
+			})
+		}
+	}
+}
+
 // isClosed reports whether the client closes a connection within a time.
 func isClosed(u *upstream, within time.Duration) bool {
 	select {
--- a/internal/connection/headchecker/headchecker.go
+++ b/internal/connection/headchecker/headchecker.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"currantledge.example/currantledge/internal/connection/resetdetector"
 )
@@ -22,8 +23,12 @@
 	minInformational = 100
 )
 
-// ErrInvalidStatus marks errors of responses with an invalid status. The request may have run.
-var ErrInvalidStatus = errors.New("invalid status of the response; check what serves at the address")
+var (
+	// ErrInvalidStatus marks errors of responses with an invalid status. The request may have run.
+	ErrInvalidStatus = errors.New("invalid status of the response; check what serves at the address")
+	// ErrInvalidField marks errors of responses with an invalid field. The request may have run.
+	ErrInvalidField = errors.New("invalid field in the head of the response; check what serves at the address")
+)
 
 // IsInformational reports whether a response with this status precedes the final one. 101 does not: it ends HTTP on its
 // connection, and no client of the system asks for that.
@@ -39,8 +44,19 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that returns an error for an invalid status and does not use the connection again. The
-// body of a response ends with an error if the connection broke, also during a write of the request.
+// CheckFieldNames returns an error marked with ErrInvalidField unless the names of all fields are valid. net/http accepts
+// blanks in a name, so that "Content-Length : 5" is a field of its own that does not delimit the body.
+func CheckFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrInvalidField, "name %.40q", name)
+		}
+	}
+	return nil
+}
+
+// Transport is an http.RoundTripper that returns an error for an invalid head of a final response and does not use the
+// connection again. The body of a response ends with an error if the connection broke, also during a write of the request.
 type Transport struct {
 	base *http.Transport
 }
@@ -63,13 +79,13 @@
 }
 
 // connection is a connection of a Transport. net/http offers a connection to the next request before it returns a
-// response without a body, so the next request waits until the status of that response is checked.
+// response without a body, so the next request waits until the head of that response is checked.
 type connection struct {
 	net.Conn
-	// unchecked is held by a request from the choice of the connection until the status of its response is checked.
+	// unchecked is held by a request from the choice of the connection until the head of its response is checked.
 	unchecked sync.Mutex
-	// invalid is set after an invalid status. It is guarded by unchecked.
-	invalid bool
+	// failure is the error for an invalid head, after which the connection is closed, or nil. It is guarded by unchecked.
+	failure error
 }
 
 // ofTransport returns the connection of a Transport below c, or nil for HTTP/2, where responses cannot follow each other
@@ -107,16 +123,18 @@
 	if err != nil {
 		return nil, err
 	}
-	err = CheckFinal(response.StatusCode)
-	if used != nil && used.invalid {
+	if err = CheckFinal(response.StatusCode); err == nil {
+		err = CheckFieldNames(response.Header)
+	}
+	if used != nil && used.failure != nil {
 		// The request could not be sent, since the connection was closed; the response was read ahead.
-		err = errors.Wrap(ErrInvalidStatus, "an earlier response on the connection")
+		err = errors.Wrap(used.failure, "an earlier response on the connection")
 	}
 	if err == nil {
 		return response, nil
 	}
 	if used != nil {
-		used.invalid = true
+		used.failure = err
 		_ = used.Close()
 	}
 	_ = response.Body.Close()
--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -249,14 +249,17 @@
 	}, nil
 }
 
-// readHead reads the head of the final response and skips informational ones. Any other status is an error: the bytes after
-// it would otherwise be read as the next response.
+// readHead reads the head of the final response and skips informational ones. Any other status, and an invalid field, is an
+// error: the bytes after the head cannot be interpreted.
 func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if err := headchecker.CheckFieldNames(response.Header); err != nil {
+			return nil, err
+		}
 		if !headchecker.IsInformational(response.StatusCode) {
 			return response, headchecker.CheckFinal(response.StatusCode)
 		}
--- a/internal/process/gatewayrunner/brokenresponse_test.go
+++ b/internal/process/gatewayrunner/brokenresponse_test.go
@@ -271,3 +271,29 @@
 		})
 	}
 }
+
+// Guards against a client that gets a response whose head has a field with an invalid name: that line, or a body that does
+// not end where the upstream meant it to end.
+func TestResponseWithInvalidFieldNameIsBroken(t *testing.T) {
+	g, u := startBeforeRawUpstreams(t, "127.0.0.47", 17370)
+	for _, lines := range []string{
+		"Odd Name: x\r\n", "Odd : x\r\n", "Odd\t: x\r\n", "Odd\tName: x\r\n", ": x\r\n",
+		"Odd\x00Name: x\r\n", "Odd\x01: x\r\n", "\x1fOdd: x\r\n", "Odd\x7fName: x\r\n", "Odd\rName: x\r\n", "Odd\vName: x\r\n",
+		"Content-Length : 6\r\n", "Content Length: 6\r\n", "Content-Length\x00: 6\r\n",
+		"Transfer-Encoding : chunked\r\n",
+	} {
+		for place, form := range map[string]string{
+			"last, no length":  "HTTP/1.1 200 OK\r\n%[1]s%[2]s\r\n6\r\nforged\r\n0\r\n\r\n",
+			"first, no length": "HTTP/1.1 200 OK\r\n%[2]s%[1]s\r\n6\r\nforged\r\n0\r\n\r\n",
+			"last, length":     "HTTP/1.1 200 OK\r\n%[1]sContent-Length: 6\r\n%[2]s\r\nforged",
+			"informational":    "HTTP/1.1 103 X\r\nA: b\r\n%[2]s\r\nHTTP/1.1 200 OK\r\n%[1]sContent-Length: 6\r\n\r\nforged",
+		} {
+			t.Run(fmt.Sprintf("%q, %s", lines, place), func(t *testing.T) {
+				requireBroken(t, g, u, func(c *net.TCPConn, valid string) {
+					_, _ = fmt.Fprintf(c, form, valid, lines)
+					endGently(c)
+				})
+			})
+		}
+	}
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -188,6 +188,8 @@
 		out.feedback, out.detail = admitter.Oversized{}, "response too large"
 	case errors.Is(err, headchecker.ErrInvalidStatus):
 		out.detail = "invalid status"
+	case errors.Is(err, headchecker.ErrInvalidField):
+		out.detail = "invalid field"
 	case s.screened.Load():
 		out.feedback, out.detail = admitter.Cancelled{}, "cancelled, since its prompt crashes upstreams"
 	case s.stall.fired():
--- a/internal/request/forwarder/status_test.go
+++ b/internal/request/forwarder/status_test.go
@@ -46,3 +46,25 @@
 		})
 	}
 }
+
+// Guards against a client that gets a response whose head has a field with an invalid name, and against such a request that
+// may have run and is sent to a second upstream.
+func TestInvalidFieldOfUpstreamIsABrokenResponse(t *testing.T) {
+	t.Parallel()
+	invalidField := func(c net.Conn, q *http.Request, _ string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nStamp: s\r\nOdd Name: x\r\nContent-Length: 6\r\n\r\nforged", q.Header.Get("Id"))
+	}
+	f := newFixture(t, invalidField, completeResponse(200, "fine"))
+	got, _, body, err := f.send(t, "/once/", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, got, body)
+	require.Len(t, f.receivedRequests(), 1)
+	require.Contains(t, f.log.String(), "invalid field")
+
+	f = newFixture(t, invalidField, completeResponse(200, "fine"))
+	got, _, body, err = f.send(t, "/again/", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, got)
+	require.Equal(t, "fine", body)
+	require.Len(t, f.receivedRequests(), 2)
+}
