Reject responses with a line in the head that begins with a blank

Clients saw: a field whose name began with a blank, in any line of fields but the first, as a part of the field before it, in a complete 200; that field may be the signature of the runner. Cause: the parser of net/http joins such a line to the one before it, which RFC 9112 (5.2) allows; the other choice that it gives a gateway is 502. Change: the requester scans the bytes of each head, also of informational ones, and returns an error at such a line. Why it works: the scan ends with the final head, and the bytes of the line never get to the parser. Responses that are read through net/http by the other clients are not scanned; only calls of services by agents pass fields on.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -53,6 +53,7 @@
 	ErrNotSent = errors.New("no connection to the upstream; the request was not sent")
 	// ErrTooLarge marks errors of responses that exceed the limit of their head or body. The request may have run.
 	ErrTooLarge = errors.New("the response exceeds its size limit; check what serves at the address of the upstream")
+	errFolded   = errors.Wrap(headchecker.ErrInvalidField, "a line begins with a blank")
 )
 
 // Field is a header field; the order of fields is kept.
@@ -104,6 +105,8 @@
 	// limit bounds the bytes of the current head or body that are read from the socket; taken counts them.
 	limit int64
 	taken int64
+	// head scans the bytes of the current head. It is done while a body is read.
+	head headScanner
 	// expires is when the idle connection has to be closed.
 	expires time.Time
 }
@@ -114,18 +117,31 @@
 	return c
 }
 
-// Read reads from the socket until the limit is reached.
+// Read reads from the socket until the limit is reached or the head has a folded line.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.taken >= c.limit {
 		return 0, errors.Wrapf(ErrTooLarge, "closed after %d bytes", c.taken)
 	}
+	if c.head.isFolded {
+		return 0, errFolded
+	}
 	n, err := c.Conn.Read(p[:min(int64(len(p)), c.limit-c.taken)])
 	c.taken += int64(n)
+	c.head.scan(p[:n])
+	if c.head.isFolded {
+		return 0, errFolded
+	}
 	return n, err
 }
 
-// setLimit starts a new count of bytes.
-func (c *connection) setLimit(limit int64) {
+// beginHead starts a head with a new count of bytes.
+func (c *connection) beginHead() {
+	c.head = headScanner{}
+	c.limit, c.taken = maxHeadBytes, 0
+}
+
+// beginBody starts a body with a new count of bytes.
+func (c *connection) beginBody(limit int64) {
 	c.limit, c.taken = limit, 0
 }
 
@@ -219,15 +235,15 @@
 			writeResult <- err
 		}()
 	}
-	conn.setLimit(maxHeadBytes)
-	response, err := readHead(conn.reader, q.Method) //nolint:bodyclose // Close ends the connection; closing the body would first read it to its end.
+	conn.beginHead()
+	response, err := readHead(conn, q.Method) //nolint:bodyclose // Close ends the connection; closing the body would first read it to its end.
 	if err != nil {
 		return fail(err, "read the head of the response")
 	}
 	if response.ContentLength > r.maxBodyBytes {
 		return fail(errors.Wrapf(ErrTooLarge, "body of %d bytes", response.ContentLength), "read the head of the response")
 	}
-	conn.setLimit(r.maxBodyBytes)
+	conn.beginBody(r.maxBodyBytes)
 	body := &eofTracker{Reader: response.Body}
 	return &Response{
 		Status:  response.StatusCode,
@@ -251,9 +267,13 @@
 
 // readHead reads the head of the final response and skips informational ones. Any other status, and an invalid field, is an
 // error: the bytes after the head cannot be interpreted.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func readHead(c *connection, method string) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if c.head.isFolded {
+			// The parser may name the line that Read has cut instead.
+			return nil, errFolded
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/process/gatewayrunner/brokenresponse_test.go
+++ b/internal/process/gatewayrunner/brokenresponse_test.go
@@ -277,10 +277,10 @@
 func TestResponseWithInvalidFieldNameIsBroken(t *testing.T) {
 	g, u := startBeforeRawUpstreams(t, "127.0.0.47", 17370)
 	for _, lines := range []string{
-		"Odd Name: x\r\n", "Odd : x\r\n", "Odd\t: x\r\n", "Odd\tName: x\r\n", ": x\r\n",
+		"Odd Name: x\r\n", "Odd : x\r\n", " Odd: x\r\n", "\tOdd: x\r\n", "Odd\t: x\r\n", "Odd\tName: x\r\n", ": x\r\n",
 		"Odd\x00Name: x\r\n", "Odd\x01: x\r\n", "\x1fOdd: x\r\n", "Odd\x7fName: x\r\n", "Odd\rName: x\r\n", "Odd\vName: x\r\n",
-		"Content-Length : 6\r\n", "Content Length: 6\r\n", "Content-Length\x00: 6\r\n",
-		"Transfer-Encoding : chunked\r\n",
+		"Content-Length : 6\r\n", "Content Length: 6\r\n", "Content-Length\x00: 6\r\n", " Content-Length: 6\r\n",
+		"Transfer-Encoding : chunked\r\n", " Transfer-Encoding: chunked\r\n",
 	} {
 		for place, form := range map[string]string{
 			"last, no length":  "HTTP/1.1 200 OK\r\n%[1]s%[2]s\r\n6\r\nforged\r\n0\r\n\r\n",
