Return the error of a broken connection to each further read

Cause: found while the fix of reset responses was read again: a reset that a read had received was not kept, and the next read of the same connection found the end of the stream. No reader of the product is known to read on after an error. Change: resetdetector.Conn keeps the first error of a read as well as that of a write. Measured: TestResetIsNotTheEndOfTheStream, which now reads once more, failed before.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -53,7 +53,8 @@
 	ErrNotSent = errors.New("no connection to the upstream; the request was not sent")
 	// ErrTooLarge marks errors of responses that exceed the limit of their head or body. The request may have run.
 	ErrTooLarge = errors.New("the response exceeds its size limit; check what serves at the address of the upstream")
-	errFolded   = errors.Wrap(headchecker.ErrInvalidField, "a line begins with a blank")
+	// errFolded is the error of a head with a folded line.
+	errFolded = errors.Wrap(headchecker.ErrInvalidField, "a line begins with a blank")
 )
 
 // Field is a header field; the order of fields is kept.
--- a/internal/connection/resetdetector/resetdetector.go
+++ b/internal/connection/resetdetector/resetdetector.go
@@ -18,9 +18,10 @@
 // error, the next Read of the socket finds the end of the stream, and a message without a length looks complete.
 type Conn struct {
 	net.Conn
-	// mu guards failure, and is held during each write.
-	mu sync.Mutex
-	// failure is the error of the connection that a write has received, or nil.
+	// writing is held during each write.
+	writing sync.Mutex
+	// mu guards failure, the error of the connection that a system call has received, or nil.
+	mu      sync.Mutex
 	failure error
 }
 
@@ -31,8 +32,8 @@
 
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	c.record(err)
 	return n, err
@@ -40,40 +41,48 @@
 
 // WriteBuffers writes the contents of all buffers, with one system call where the connection permits that.
 func (c *Conn) WriteBuffers(buffers *net.Buffers) (int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := buffers.WriteTo(c.Conn)
 	c.record(err)
 	return n, err
 }
 
-// record keeps the first error that the connection has reported to a write. EPIPE is not one: the peer had closed its side
-// before it stopped reading, or another system call has received the error.
-func (c *Conn) record(err error) {
-	if err == nil || c.failure != nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return
-	}
-	c.failure = err
-}
-
-// Read reads from the connection. It returns the error of a failed write instead of io.EOF.
+// Read reads from the connection. If the connection broke, it returns that error instead of io.EOF.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) {
-		if failure := c.awaitFailure(); failure != nil {
-			return n, errors.Wrap(failure, "the connection broke during a write")
-		}
+	if !errors.Is(err, io.EOF) {
+		c.record(err)
+		return n, err
+	}
+	c.endWrite()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure != nil {
+		return n, errors.Wrap(c.failure, "the connection broke")
 	}
 	return n, err
 }
 
-// awaitFailure returns the error that a write has received, or nil. It ends a write that still waits, since that one has
-// received none.
-func (c *Conn) awaitFailure() error {
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
+// record keeps the first error that the connection has reported. EPIPE is not one: the peer had closed its side before it
+// stopped reading, or another system call has received the error.
+func (c *Conn) record(err error) {
+	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failure
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
+// endWrite returns once no write is under way. A write that has received an error returns with it, and one that still waits
+// has received none and ends.
+func (c *Conn) endWrite() {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
 }
 
 // SyscallConn returns the socket of the connection. It returns an error if there is none.
--- a/internal/connection/resetdetector/resetdetector_test.go
+++ b/internal/connection/resetdetector/resetdetector_test.go
@@ -62,6 +62,8 @@
 		got, err := io.ReadAll(c)
 		require.ErrorIs(t, err, syscall.ECONNRESET)
 		require.Equal(t, "part", string(got))
+		_, err = c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, syscall.ECONNRESET, "a further read")
 		if errors.Is(<-writeErr, syscall.ECONNRESET) {
 			writes++
 		}
