Reset large responses of a test only once the client has their head

The log of the gateway shows why: a reset drops what has not arrived, so less than the 512 KiB that are buffered had been read ("read the response: the connection broke"), no response had begun, and the gateway answered 502, which is right. The test demanded that the response break off. Change: the stand-in resets a large response once the client has its head, and the test requires that head and an error of the body. It is as strict, and now always tests a response that has begun.

--- a/internal/process/gatewayrunner/brokenresponse_test.go
+++ b/internal/process/gatewayrunner/brokenresponse_test.go
@@ -106,12 +106,18 @@
 
 // upload sends a request of a kind, again if the gateway could not connect to an upstream, as exchangeOnceReachable does.
 func (g *gateway) upload(t *testing.T, kind, id string, body []byte) uploaded {
+	t.Helper()
+	return g.uploadAndWatch(t, kind, id, body, func() {})
+}
+
+// uploadAndWatch is upload that calls begun once the head of a 200 has arrived.
+func (g *gateway) uploadAndWatch(t *testing.T, kind, id string, body []byte, begun func()) uploaded {
 	t.Helper()
 	const maxTries = 20
 	var got uploaded
 	for try := range maxTries {
 		name := fmt.Sprintf("%s.%d", id, try)
-		got = g.uploadOnce(t, kind, name, body)
+		got = g.uploadOnce(t, kind, name, body, begun)
 		if got.code != http.StatusServiceUnavailable || !g.logsUnreachable(name) {
 			break
 		}
@@ -119,7 +125,7 @@
 	return got
 }
 
-func (g *gateway) uploadOnce(t *testing.T, kind, id string, body []byte) uploaded {
+func (g *gateway) uploadOnce(t *testing.T, kind, id string, body []byte, begun func()) uploaded {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+g.clientAddress+"/"+kind+"/", bytes.NewReader(body))
 	require.NoError(t, err)
@@ -132,6 +138,9 @@
 		return uploaded{err: err}
 	}
 	defer r.Body.Close()
+	if r.StatusCode == http.StatusOK {
+		begun()
+	}
 	got, err := io.ReadAll(r.Body)
 	return uploaded{code: r.StatusCode, body: string(got), err: err}
 }
@@ -178,9 +187,19 @@
 		require.Equal(t, http.StatusBadGateway, got.code, got.body)
 		require.Equal(t, 1, u.received(), "the request may have run")
 
-		u.respond(resetResponse(large))
-		got = g.upload(t, "non_idempotent", fmt.Sprint("large-", i), longUpload)
-		require.Error(t, got.err, "status %d", got.code)
+		// A reset drops what has not arrived, so it has to wait until the gateway has begun its response.
+		begun := make(chan struct{})
+		u.respond(func(c *net.TCPConn, valid string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+valid+"\r\n"+large)
+			select {
+			case <-begun:
+			case <-time.After(timeout):
+			}
+			reset(c)
+		})
+		got = g.uploadAndWatch(t, "non_idempotent", fmt.Sprint("large-", i), longUpload, func() { close(begun) })
+		require.Equal(t, http.StatusOK, got.code)
+		require.Error(t, got.err)
 
 		u.respond(resetResponse("id: 1\ndata: a\n\n"))
 		got = g.upload(t, "streaming", fmt.Sprint("stream-", i), longUpload)
