Reject lists of experts that no rank can have

Callers saw their requests cut: a rank whose answers are spoiled (one digit of its list of experts) ended the process of the gateway that led the expert maps, and often the next leader's too.

Cause: readLayout compared epochs, versions and the number of sets; the experts indexed slices of the configured number of experts unchecked, in a goroutine of its own. An expert that was wrong but in range became part of the layout that fallbacks prepare.

Change: rankchecker, without I/O, knows the shape of a group and rejects experts out of range, listed twice or too many, other numbers of sets, and maps that leave an expert without a rank. The leader calls ranks through checkedEngines, so that such an answer counts as none and is asked for again, and event 743 and answersRejected tell it.

--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -84,6 +84,7 @@
 	EventRequestsWait         Event = 740
 	EventListenerNotDrained   Event = 741
 	EventGroupStands          Event = 742
+	EventAnswerRejected       Event = 743
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -161,6 +162,7 @@
 	EventRequestsWait:         {zerolog.InfoLevel, "requests wait for upstreams"},
 	EventListenerNotDrained:   {zerolog.WarnLevel, "established connections were not accepted"},
 	EventGroupStands:          {zerolog.WarnLevel, "group makes no passes"},
+	EventAnswerRejected:       {zerolog.WarnLevel, "answer of a rank rejected"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/process/meter/catalogue.go
+++ b/internal/process/meter/catalogue.go
@@ -67,6 +67,7 @@
 		{MapSwitches, TypeCounter, "switches"},
 		{MapsAbandoned, TypeCounter, "switches"},
 		{CountsRead, TypeCounter, "numbers by reason"},
+		{AnswersRejected, TypeCounter, "answers"},
 		{LogLinesDropped, TypeCounter, "lines"},
 		{ClientConnections, TypeGauge, "connections by listener"},
 		{ClientBytes, TypeGauge, "bytes by listener"},
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -62,6 +62,7 @@
 	MapSwitches            Name = "mapSwitches"
 	MapsAbandoned          Name = "mapsAbandoned"
 	CountsRead             Name = "countsRead"
+	AnswersRejected        Name = "answersRejected"
 	LogLinesDropped        Name = "logLinesDropped"
 
 	ClientConnections Name = "clientConnections"
@@ -110,6 +111,14 @@
 	m.vars.Add(string(name), 1)
 }
 
+// Count returns the value of a counter.
+func (m *Meter) Count(name Name) int64 {
+	if counter, is := m.vars.Get(string(name)).(*expvar.Int); is {
+		return counter.Value()
+	}
+	return 0
+}
+
 // SetGauge publishes the result of a function as a gauge, or as a counter that another component keeps. The function is
 // called on each read, possibly concurrently.
 func (m *Meter) SetGauge(name Name, read func() int64) {
--- /dev/null
+++ b/internal/version/mapleader/answers_test.go
@@ -0,0 +1,80 @@
+package mapleader_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/version/mapleader"
+	"currantledge.example/currantledge/internal/version/mapswitcher"
+)
+
+// spoilingEngines is a fake of a group one of whose ranks gives wrong answers.
+type spoilingEngines struct {
+	*fakeEngines
+	// spoilMap changes the map of a rank; reads is how often it was read before.
+	spoilMap func(address string, reads int, m *mapswitcher.RankMap)
+
+	mu       sync.Mutex
+	mapReads map[string]int
+}
+
+func (e *spoilingEngines) RankMap(ctx context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
+	out, err := e.fakeEngines.RankMap(ctx, m)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spoilMap != nil {
+		e.spoilMap(m.Address, e.mapReads[m.Address], &out)
+	}
+	e.mapReads[m.Address]++
+	return out, err
+}
+
+// newSpoilingLeader returns a leader of a group of spoilingEngines.
+func newSpoilingLeader(f *fixture, e *spoilingEngines) *mapleader.Leader {
+	e.fakeEngines = &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}
+	e.mapReads = map[string]int{}
+	cfg := leaderConfig(f, e.fakeEngines)
+	cfg.Engines = e
+	f.meter = cfg.Meter
+	return mapleader.New(cfg)
+}
+
+// Guards against a wrong byte in a rank's list of experts that ends the process of the leader, or that becomes part of the
+// map that it works with.
+func TestSpoiledListOfExpertsIsReadAgain(t *testing.T) {
+	t.Parallel()
+	for name, spoiled := range map[string][][]identifier.Expert{
+		"expert beyond the range": {{97, 3}},
+		"negative expert":         {{-1, 3}},
+		"other expert in range":   {{1, 2}},
+		"expert listed twice":     {{1, 3, 1}},
+		"too many experts":        {{0, 1, 2, 3}},
+		"no set":                  {},
+		"one set too many":        {{1, 3}, {1, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				stop := startLeader(t, newSpoilingLeader(f, &spoilingEngines{spoilMap: func(address string, reads int, m *mapswitcher.RankMap) {
+					if address == "1" && reads == 0 {
+						m.Experts = spoiled
+					}
+				}}))
+				time.Sleep(maxSwitchTime)
+				stop()
+				require.Contains(t, f.log.String(), `"event":721`, "the map is switched")
+				require.NotContains(t, f.log.String(), `"event":726`)
+				require.Contains(t, f.log.String(), `"event":743`)
+				require.EqualValues(t, 1, f.meter.Count(meter.AnswersRejected))
+			})
+		})
+	}
+}
--- a/internal/version/mapleader/lease_test.go
+++ b/internal/version/mapleader/lease_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/version/mapleader"
 	"currantledge.example/currantledge/internal/version/replicator"
 )
@@ -97,6 +98,8 @@
 	// log receives the lines of the leader.
 	log   bytes.Buffer
 	store *store
+	// meter is the one of the last leader that newSpoilingLeader has returned.
+	meter *meter.Meter
 	now   time.Duration
 	// clock returns now, or the time since the start of a test with a simulated clock.
 	clock func() time.Duration
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -39,6 +39,8 @@
 	// maxCallTries bounds the calls to a rank that times out or fails. Ranks may fail a part of their calls for seconds,
 	// and a group is read only if all of its ranks respond.
 	maxCallTries = 6
+	// maxLayoutTries bounds the reads of the maps of all ranks if they contradict each other.
+	maxLayoutTries = 3
 	// maxProbes bounds the calls that look for one rank of a group that responds. The rank that closed the group may not.
 	maxProbes = 3
 	// releaseTimeout bounds the write that releases the lease.
@@ -360,7 +362,7 @@
 	for i, s := range services {
 		st, found := l.services[s.Name]
 		if !found {
-			st = newServiceState()
+			st = l.newServiceState(s.Name)
 			l.services[s.Name] = st
 		}
 		st.Service = s
@@ -393,6 +395,7 @@
 // managedGroup is the state that the leader keeps for one epoch of a group.
 type managedGroup struct {
 	service   cataloguer.Service
+	engines   *checkedEngines
 	group     mapswitcher.Group
 	layout    rebalancer.Layout
 	estimator *estimator.Estimator
@@ -522,26 +525,23 @@
 }
 
 // readLayout reads the maps of the ranks into the layout of the group and returns their epoch. Unlike reports, the maps
-// are up to date.
+// are up to date. They are read again if they contradict each other: one of them is wrong, or the map was changed while they
+// were read.
 func (l *Leader) readLayout(ctx context.Context, g *managedGroup) (mapswitcher.Epoch, error) {
-	maps, errs := gather(ctx, g.group.Members, maxCallTries, l.cfg.Engines.RankMap)
-	layout := make(rebalancer.Layout, g.service.Engine.Sets)
-	for s := range layout {
-		layout[s] = make([][]identifier.Expert, len(maps))
-	}
-	for r, m := range maps {
-		if errs[r] != nil {
-			return 0, errs[r]
-		}
-		if m.Epoch != maps[0].Epoch || m.Version != maps[0].Version || len(m.Experts) != len(layout) {
-			return 0, mapswitcher.ErrEpochChanged
+	var err error
+	for range maxLayoutTries {
+		maps, errs := gather(ctx, g.group.Members, maxCallTries, g.engines.RankMap)
+		if i := slices.IndexFunc(errs, func(err error) bool { return err != nil }); i >= 0 {
+			return 0, errs[i]
 		}
-		for s, experts := range m.Experts {
-			layout[s][r] = experts
+		var layout rebalancer.Layout
+		if layout, err = g.engines.shape.NewLayout(maps); err == nil {
+			g.layout = layout
+			return maps[0].Epoch, nil
 		}
+		g.engines.rejections.record("", err)
 	}
-	g.layout = layout
-	return maps[0].Epoch, nil
+	return 0, err
 }
 
 // recoverGroup ends the switch that an earlier leader or a failed switch of this one has left unfinished. It may only
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -24,7 +24,8 @@
 	// estimators holds the last estimator of each group; it outlives the epoch of a group.
 	estimators map[identifier.GroupID]*estimator.Estimator
 	// holds records the holds that this leader has ordered for each group in its tenure.
-	holds map[identifier.GroupID]*mapswitcher.HoldLedger
+	holds      map[identifier.GroupID]*mapswitcher.HoldLedger
+	rejections *rejections
 	// searchedAt is when unknown groups were last searched for.
 	searchedAt time.Time
 	// replaced maps each upstream whose address another upstream has taken over to the version of its row.
@@ -33,13 +34,14 @@
 	probes int
 }
 
-func newServiceState() *serviceState {
+func (l *Leader) newServiceState(name identifier.Service) *serviceState {
 	return &serviceState{
 		managed:    map[identifier.GroupID]*managedGroup{},
 		lost:       map[identifier.GroupID][]string{},
 		estimators: map[identifier.GroupID]*estimator.Estimator{},
 		holds:      map[identifier.GroupID]*mapswitcher.HoldLedger{},
 		replaced:   map[identifier.Upstream]uint64{},
+		rejections: &rejections{service: name, log: l.cfg.Log, meter: l.cfg.Meter},
 	}
 }
 
@@ -267,8 +269,10 @@
 			st.holds[id] = mapswitcher.NewFirstHoldLedger()
 		}
 	}
+	engines := l.newCheckedEngines(st)
 	g := &managedGroup{
 		service: st.Service,
+		engines: engines,
 		foundAt: time.Now(),
 		rebased: map[int]bool{},
 		group:   mapswitcher.Group{Name: id.Group, Members: reported.members},
@@ -276,7 +280,7 @@
 			Sets: st.Engine.Sets, Experts: st.Engine.Experts, Ranks: len(reported.members), Previous: st.estimators[id],
 		}),
 		switcher: mapswitcher.New(mapswitcher.Config{
-			Engines:   l.cfg.Engines,
+			Engines:   engines,
 			Allowed:   l.Leading,
 			LoadTime:  st.Engine.ExpertLoadTime,
 			LinkSpeed: l.cfg.LinkSpeed,
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -136,7 +136,20 @@
 	StatusInvalid
 )
 
-// Engines calls the ranks. If Order returns an error, the rank may have accepted the order or may still carry it out
+// AnswerError is the error of an answer that a sound rank cannot give.
+type AnswerError struct {
+	// Field is the part of the answer that is wrong, Value what it holds, and Problem why that cannot be.
+	Field   string
+	Value   string
+	Problem string
+}
+
+// Error returns a message that names the field.
+func (e *AnswerError) Error() string {
+	return "invalid answer: " + e.Field + " is " + e.Value + "; " + e.Problem
+}
+
+// Engines calls the ranks. An answer that a sound rank cannot give is an AnswerError. If Order returns an error, the rank may have accepted the order or may still carry it out
 // later.
 type Engines interface {
 	Report(ctx context.Context, m Member) (Report, error)
