Keep orders of a former leader from harming the next one

Callers' streams ran on ranks with different expert maps: a leader of the maps that was suspended for 1.3 s while it armed ranks, and did not reach the store, disarmed after its wake what the next leader had armed. All passes from then on began with different maps.

Cause: Switcher.reset raised the version that it disarms to the one in the report of a rank, whoever had armed it. Recover ended whatever reports showed, and a release names only a step, which two leaders could choose alike.

Change: a version above the own fallback is that of a later leader. Such a rank is left alone; the former leader makes sure that its own map can no longer be armed, releases its own hold, and does not lead until a write to the lease has succeeded. The lease counts its holders, and a leader names only steps whose remainder by three is that of its term. Holds of others are ended only after a write to the lease since the reports were read, and by reports that two reads in a row have shown.

simulatedLeader of TestLateOrdersDoNotStopAGroup now recovers in the turn in which it suspects a standstill, as Leader.endHolds does; it waited for its next turn, 0.5 s later. Bounds and scenarios are as they were.

--- a/internal/version/mapleader/lease.go
+++ b/internal/version/mapleader/lease.go
@@ -25,6 +25,9 @@
 	// fencesPerEra is more than the versions that the store may lose at once, so that the first fence after a restoration is
 	// higher than the last one before.
 	fencesPerEra = 1 << 24
+	// extensionValidity is how long after an extension without a write the lease counts as extended. An outage is checked
+	// at least that often: a renewal that gets no response takes up to renewTimeout, and the next follows in leaseInterval.
+	extensionValidity = renewTimeout + 2*leaseInterval
 	// resignAfter is the time since the last renewal after which a lease is resigned. It leaves time for one failed
 	// renewal and one retry.
 	resignAfter = 2500 * time.Millisecond
@@ -60,8 +63,12 @@
 	renewedAt time.Duration
 	// resigned is the version of the row that this process last resigned without a write to the row, or 0.
 	resigned uint64
-	// isFirst is set if no process had held the lease when this one acquired it.
-	isFirst bool
+	// term counts the acquisitions of the lease by any process, up to the last one by this process.
+	term uint64
+	// doubted is set until the next write to the row after another process may have acquired the lease.
+	doubted bool
+	// extended is set if renewedAt is that of an extension without a write.
+	extended bool
 	// observedVersion is the newest version that another process holds, and observedAt when it was first read.
 	observedVersion uint64
 	observedAt      time.Duration
@@ -89,6 +96,8 @@
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
 	Released    bool   `json:"released,omitempty"`
+	// Term counts the acquisitions of the lease.
+	Term uint64 `json:"term,omitempty"`
 	// Era is the era of the version that the write expected.
 	Era uint64 `json:"era,omitempty"`
 }
@@ -103,7 +112,7 @@
 func (l *Lease) Held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version != 0 && l.cfg.Now()-l.renewedAt < leaseTerm
+	return l.version != 0 && !l.doubted && l.cfg.Now()-l.renewedAt < leaseTerm
 }
 
 // Fence returns the fencing number of this tenure, which is higher than that of every earlier holder. It is 0 if the
@@ -118,12 +127,12 @@
 // holder ends the lease at once. After any other error this process holds it until the term ends.
 func (l *Lease) Renew(ctx context.Context) (bool, error) {
 	l.mu.Lock()
-	version, due := l.version, l.cfg.Now()-l.renewedAt >= renewInterval
+	version, due := l.version, l.doubted || l.cfg.Now()-l.renewedAt >= renewInterval
 	l.mu.Unlock()
 	if version == 0 || !due {
 		return version != 0, nil
 	}
-	return l.write(ctx, version, false)
+	return l.write(ctx, version)
 }
 
 // Extend renews the lease without a write to the store, if the lease is still held. The caller must know that the store
@@ -132,10 +141,44 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := l.cfg.Now(); l.version != 0 && now-l.renewedAt < leaseTerm {
-		l.renewedAt = now
+		l.renewedAt, l.extended = now, true
 	}
 }
 
+// Doubt records that another process may have acquired the lease. This process does not hold it until a write to the row
+// has shown that it still does.
+func (l *Lease) Doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted = true
+}
+
+// Confirm writes the row at once and reports whether this process has held the lease without a break until then. While the
+// lease is extended without writes, no write is needed.
+func (l *Lease) Confirm(ctx context.Context) (bool, error) {
+	l.mu.Lock()
+	version := l.version
+	l.mu.Unlock()
+	if version == 0 {
+		return false, nil
+	}
+	held, err := l.write(ctx, version)
+	if err == nil {
+		return held, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isExtended := l.extended && l.cfg.Now()-l.renewedAt < extensionValidity
+	return isExtended && l.version != 0 && !l.doubted, err
+}
+
+// Term returns the number of acquisitions of the lease up to the last one by this process.
+func (l *Lease) Term() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
 // Resign gives up the lease if it could not be renewed for a while, for example because the store refuses the calls of
 // this VM. Peers that receive the resigned version take over before the term ends. Resign reports whether the lease was
 // given up.
@@ -165,17 +208,12 @@
 	if !l.isFree(row) {
 		return false, nil
 	}
+	var w wireLease
+	_ = json.Unmarshal(row.Value, &w)
 	l.mu.Lock()
-	l.isFirst = replicator.CounterOf(row.Version) == 0
+	l.term = w.Term + 1
 	l.mu.Unlock()
-	return l.write(ctx, row.Version, false)
-}
-
-// IsFirst reports whether this process acquired the lease as the first one.
-func (l *Lease) IsFirst() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.isFirst
+	return l.write(ctx, row.Version)
 }
 
 // isFree reports whether no process holds the version of the row: it was never written, its holder released or resigned
@@ -218,7 +256,7 @@
 func (l *Lease) rowValue(expected uint64, released bool) []byte {
 	raw, err := json.Marshal(wireLease{
 		Node: string(l.cfg.Node), Incarnation: uint64(l.cfg.Incarnation), Released: released,
-		Era: uint64(replicator.EraOf(expected)),
+		Era: uint64(replicator.EraOf(expected)), Term: l.Term(),
 	})
 	if err != nil {
 		return nil
@@ -227,9 +265,9 @@
 }
 
 // write writes the row if it still has the expected version, and reports whether this process holds the lease.
-func (l *Lease) write(ctx context.Context, expected uint64, released bool) (bool, error) {
+func (l *Lease) write(ctx context.Context, expected uint64) (bool, error) {
 	started := l.cfg.Now()
-	version, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(expected, released), expected)
+	version, err := l.cfg.Store.Write(ctx, leaseTable, leaseKey, l.rowValue(expected, false), expected)
 	if errors.Is(err, replicator.ErrConflict) {
 		return l.resolveConflict(ctx, started)
 	}
@@ -255,7 +293,7 @@
 		return true, nil
 	}
 	if l.Held() && w.isRestored(row) {
-		return l.write(ctx, row.Version, false)
+		return l.write(ctx, row.Version)
 	}
 	l.update(0, 0)
 	return false, errors.Wrap(err, "decode the lease")
@@ -266,5 +304,5 @@
 func (l *Lease) update(version uint64, started time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.version, l.renewedAt = version, started
+	l.version, l.renewedAt, l.extended, l.doubted = version, started, false, false
 }
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -41,6 +41,8 @@
 	maxCallTries = 6
 	// maxLayoutTries bounds the reads of the maps of all ranks if they contradict each other.
 	maxLayoutTries = 3
+	// maxReportTries bounds the reads of the reports of all ranks until two in a row agree.
+	maxReportTries = 4
 	// maxProbes bounds the calls that look for one rank of a group that responds. The rank that closed the group may not.
 	maxProbes = 3
 	// releaseTimeout bounds the write that releases the lease.
@@ -307,6 +309,23 @@
 	return !l.cfg.Lease.Resign(), err
 }
 
+// errNotConfirmed means that this gateway may no longer lead.
+var errNotConfirmed = errors.New("the lease could not be confirmed")
+
+// confirmLease returns nil if no other gateway has led until it was called.
+func (l *Leader) confirmLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	confirmed, err := l.cfg.Lease.Confirm(ctx)
+	if err != nil {
+		l.cfg.Meter.Increment(meter.StoreFailures)
+	}
+	if !confirmed {
+		return errors.CombineErrors(errNotConfirmed, err)
+	}
+	return nil
+}
+
 func (l *Leader) hasGroups() bool {
 	return len(l.groupServices()) > 0
 }
@@ -554,23 +573,31 @@
 	return l.recoverFrom(ctx, g, reports)
 }
 
-// readReports reads the reports of all ranks.
+// readReports reads the reports of all ranks until two in a row agree on the orders in force: orders are derived from them,
+// and a single report may be spoiled.
 func (l *Leader) readReports(ctx context.Context, g *managedGroup) ([]mapswitcher.Report, error) {
-	reports, errs := gather(ctx, g.group.Members, maxCallTries, l.cfg.Engines.Report)
-	for i, r := range reports {
-		if errs[i] != nil {
+	var last []mapswitcher.Report
+	for range maxReportTries {
+		reports, errs := gather(ctx, g.group.Members, maxCallTries, g.engines.Report)
+		if i := slices.IndexFunc(errs, func(err error) bool { return err != nil }); i >= 0 {
 			return nil, errs[i]
 		}
-		if r.Epoch != g.group.Epoch {
+		if !slices.EqualFunc(last, reports, mapswitcher.Report.AgreesOnOrders) {
+			last = reports
+			continue
+		}
+		if slices.ContainsFunc(reports, func(r mapswitcher.Report) bool { return r.Epoch != g.group.Epoch }) {
 			return nil, mapswitcher.ErrEpochChanged
 		}
+		return reports, nil
 	}
-	return reports, nil
+	return nil, errors.New("the reports of the ranks change with each read")
 }
 
 // recoverFrom ends the unfinished switch that the reports show.
 func (l *Leader) recoverFrom(ctx context.Context, g *managedGroup, reports []mapswitcher.Report) error {
 	if err := g.switcher.Recover(ctx, g.group, reports, l.nextVersion(), g.layout); err != nil {
+		l.doubtIfSuperseded(err)
 		return err
 	}
 	g.unresolved = false
@@ -585,6 +612,14 @@
 	return nil
 }
 
+// doubtIfSuperseded makes this gateway confirm the lease before it goes on, if the error shows that a later leader has given
+// orders.
+func (l *Leader) doubtIfSuperseded(err error) {
+	if errors.Is(err, mapswitcher.ErrSuperseded) {
+		l.cfg.Lease.Doubt()
+	}
+}
+
 // endHolds releases holds that keep the group from beginning its next step although no switch is in progress: those of
 // this leader that were placed after their release, and, if the group stands while requests run, any other; current is the
 // step that began last.
@@ -735,6 +770,7 @@
 		Uint64("version", uint64(plan.Version)).Str("readFor", string(g.lastReason)).Float64("skewBefore", skewBefore).Float64("skewAfter", skewAfter).
 		Int("loads", loads).Dur("tookMs", time.Since(started)).Dur("heldMs", result.HeldFor).AnErr("error", err).Send()
 	g.sampler.RecordSwitch(time.Now(), err == nil && skewAfter >= triggerSkew)
+	l.doubtIfSuperseded(err)
 	switch {
 	case err == nil:
 		g.layout = next
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -264,10 +264,7 @@
 
 func (l *Leader) newManagedGroup(ctx context.Context, st *serviceState, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
 	if st.holds[id] == nil {
-		st.holds[id] = mapswitcher.NewHoldLedger()
-		if l.cfg.Lease.IsFirst() {
-			st.holds[id] = mapswitcher.NewFirstHoldLedger()
-		}
+		st.holds[id] = mapswitcher.NewHoldLedger(l.cfg.Lease.Term())
 	}
 	engines := l.newCheckedEngines(st)
 	g := &managedGroup{
@@ -282,6 +279,7 @@
 		switcher: mapswitcher.New(mapswitcher.Config{
 			Engines:   engines,
 			Allowed:   l.Leading,
+			Confirm:   l.confirmLease,
 			LoadTime:  st.Engine.ExpertLoadTime,
 			LinkSpeed: l.cfg.LinkSpeed,
 			AwaitPass: func(ctx context.Context) time.Duration { return l.awaitPass(ctx, id) },
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -8,12 +8,17 @@
 // A hold is the exception: a rank places a late one as long as its step has not begun, and keeps it. The Switcher
 // remembers holds without a response and releases them when the group gets to their step (HoldLedger), and never holds a
 // group before the same step twice in an epoch, so that a late release ends no newer hold.
+//
+// A leader that was suspended may go on although another one leads. Its orders harm neither: it cancels no version higher
+// than its own, successive leaders hold a group before different steps, and a leader ends the holds of others only once it
+// has confirmed that it still leads. A version higher than its own shows it that another leader has followed.
 package mapswitcher
 
 import (
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +72,17 @@
 	Held     *identifier.Step
 }
 
+// latestVersion returns the highest version of a map that the report names.
+func (r Report) latestVersion() identifier.MapVersion {
+	return max(r.Map, r.Prepared, r.Armed)
+}
+
+// AgreesOnOrders reports whether two reports of a rank show the same orders in force.
+func (r Report) AgreesOnOrders(other Report) bool {
+	return r.Epoch == other.Epoch && r.Map == other.Map && r.Prepared == other.Prepared && r.Armed == other.Armed &&
+		(r.Held == nil) == (other.Held == nil) && (r.Held == nil || *r.Held == *other.Held)
+}
+
 // Counts holds how often the requests of a rank chose each expert since the rank started. Counts.Counts lists all
 // experts of the first set of layers, then those of the next set, and so on.
 type Counts struct {
@@ -200,6 +216,9 @@
 	ErrAbandoned = errors.New("the switch was abandoned; the group keeps its map")
 	// ErrUnresolved means that the group may still be held. Recover has to be called before another switch.
 	ErrUnresolved = errors.New("the group may still be held; recover it before another switch")
+	// ErrSuperseded means that a later leader has given orders to the group. None of the orders of this Switcher is still in
+	// force.
+	ErrSuperseded = errors.New("a later leader has given orders to the group")
 	// ErrEpochChanged means that the group has formed again or a rank was replaced.
 	ErrEpochChanged = errors.New("the group has formed again; discover it again")
 )
@@ -232,6 +251,8 @@
 	// AwaitPass waits until the group begins a pass and returns how long passes take, or 0 if that is not known. If it is
 	// nil, it is not known.
 	AwaitPass func(context.Context) time.Duration
+	// Confirm returns nil if no other process has led until it was called. If it is nil, that is always so.
+	Confirm func(context.Context) error
 	// Holds records the holds of the group for this and later Switchers of the leader. If it is nil, the Switcher has one
 	// of its own.
 	Holds *HoldLedger
@@ -248,7 +269,10 @@
 		cfg.AwaitPass = func(context.Context) time.Duration { return 0 }
 	}
 	if cfg.Holds == nil {
-		cfg.Holds = NewHoldLedger()
+		cfg.Holds = NewHoldLedger(0)
+	}
+	if cfg.Confirm == nil {
+		cfg.Confirm = func(context.Context) error { return nil }
 	}
 	return &Switcher{cfg: cfg}
 }
@@ -272,7 +296,8 @@
 }
 
 // Switch carries out a plan. An error that matches ErrAbandoned means that the group keeps its old map, and one that
-// matches ErrUnresolved that the group may still be held. After any other error the group has to be discovered again.
+// matches ErrUnresolved that the group may still be held. After any other error the group has to be discovered again, and
+// after one that matches ErrSuperseded the leader has to confirm first that it still leads.
 func (s *Switcher) Switch(ctx context.Context, g Group, p Plan) (Result, error) {
 	if err := s.prepare(ctx, g, p); err != nil {
 		return Result{}, err
@@ -300,7 +325,10 @@
 	}
 	abandonCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
 	defer cancel()
-	if abandonErr := s.abandon(abandonCtx, g, p, step); abandonErr != nil {
+	switch abandonErr := s.abandon(abandonCtx, g, p, step); {
+	case errors.Is(abandonErr, ErrSuperseded), errors.Is(abandonErr, ErrEpochChanged):
+		return result(), abandonErr
+	case abandonErr != nil:
 		return result(), errors.CombineErrors(ErrUnresolved, abandonErr)
 	}
 	return result(), errors.CombineErrors(ErrAbandoned, err)
@@ -343,7 +371,13 @@
 		batch.Members = left.Members[:s.batchSize(s.cfg.AwaitPass(ctx), order, loadTime, len(left.Members))]
 		left.Members = left.Members[len(batch.Members):]
 		err := s.forEachMember(ctx, batch, func(ctx context.Context, m Member) error {
-			return s.confirm(ctx, m, g.Epoch, order, g.prepareTimeout(), StatusAccepted, StatusDone)
+			err := s.confirm(ctx, m, g.Epoch, order, g.prepareTimeout(), StatusAccepted, StatusDone)
+			if errors.Is(err, errConflict) {
+				if report, reportErr := s.agreedReport(ctx, m); reportErr == nil && explainConflict(report, g.Epoch, order.Version) == conflictLaterLeader {
+					return ErrSuperseded
+				}
+			}
+			return err
 		})
 		if err != nil {
 			return err
@@ -431,39 +465,108 @@
 	return err
 }
 
-// abandon ensures that no rank can switch to the new map, then releases the group.
+// abandon ensures that no rank can switch to the new map, then releases the group. It releases the own hold also if a
+// later leader has followed, whose holds are before other steps.
 func (s *Switcher) abandon(ctx context.Context, g Group, p Plan, step identifier.Step) error {
-	if err := s.reset(ctx, g, p.Version, p.Fallback, p.From); err != nil {
+	resetErr := s.reset(ctx, g, p.Version, p.Fallback, p.From)
+	if resetErr != nil && !errors.Is(resetErr, ErrSuperseded) {
+		return resetErr
+	}
+	if err := s.release(ctx, g, step); err != nil {
 		return err
 	}
-	return s.release(ctx, g, step)
+	return resetErr
 }
 
 // reset disarms every rank and makes it prepare the map in use under a newer version, so that it rejects an Arm that is
-// still in flight.
+// still in flight. If a later leader has prepared a newer version at some ranks, it leaves these alone and returns
+// ErrSuperseded: they no longer accept an Arm of an earlier version either.
 func (s *Switcher) reset(ctx context.Context, g Group, armed, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
-	return s.forEachMember(ctx, g, func(ctx context.Context, m Member) error {
-		// Ranks may be armed for different versions, so each call keeps its own.
-		armed := armed
-		for {
-			if err := s.disarm(ctx, m, g.Epoch, armed); err != nil {
-				return err
-			}
-			err := s.confirm(ctx, m, g.Epoch, Prepare{Version: fallback, Layout: inUse}, g.prepareTimeout(), StatusAccepted, StatusDone)
-			if !errors.Is(err, errConflict) {
-				return err
-			}
-			// An order in flight has armed the rank again, or another leader has prepared a newer version.
-			report, err := s.cfg.Engines.Report(ctx, m)
-			if err == nil && report.Armed == 0 && max(report.Prepared, report.Map) > armed {
-				return nil
-			}
-			armed = max(armed, report.Armed)
-			if err := wait(ctx, reportLag); err != nil {
-				return err
-			}
+	var superseded atomic.Bool
+	err := s.forEachMember(ctx, g, func(ctx context.Context, m Member) error {
+		err := s.resetRank(ctx, m, g, armed, Prepare{Version: fallback, Layout: inUse})
+		if errors.Is(err, ErrSuperseded) {
+			superseded.Store(true)
+			return nil
 		}
+		return err
 	})
+	if err == nil && superseded.Load() {
+		return ErrSuperseded
+	}
+	return err
+}
+
+// resetRank disarms a rank and makes it prepare a fallback, or returns ErrSuperseded if a later leader has prepared a newer
+// version there.
+func (s *Switcher) resetRank(ctx context.Context, m Member, g Group, armed identifier.MapVersion, fallback Prepare) error {
+	for {
+		if err := s.disarm(ctx, m, g.Epoch, armed); err != nil {
+			return err
+		}
+		err := s.confirm(ctx, m, g.Epoch, fallback, g.prepareTimeout(), StatusAccepted, StatusDone)
+		if !errors.Is(err, errConflict) {
+			return err
+		}
+		report, err := s.agreedReport(ctx, m)
+		switch cause := explainConflict(report, g.Epoch, fallback.Version); {
+		case err != nil:
+		case cause == conflictLaterLeader:
+			return ErrSuperseded
+		case cause == conflictEpoch:
+			return ErrEpochChanged
+		case cause == conflictArmed && report.Armed != armed:
+			armed = report.Armed
+			continue
+		}
+		if err := wait(ctx, reportLag); err != nil {
+			return err
+		}
+	}
+}
+
+// conflict is why a rank has rejected the Prepare of a fallback, as far as a report tells.
+type conflict int
+
+const (
+	// conflictUnknown means that the report may be older than the cause.
+	conflictUnknown conflict = iota
+	// conflictArmed means that the rank is armed for a version of this leader, by an order in flight, or of an earlier one.
+	conflictArmed
+	// conflictLaterLeader means that the rank has a version that is higher than all those of this leader.
+	conflictLaterLeader
+	// conflictEpoch means that the group has formed again.
+	conflictEpoch
+)
+
+// explainConflict tells from the report of a rank why it has rejected the Prepare of a fallback, the highest version that
+// this leader has used.
+func explainConflict(r Report, epoch Epoch, fallback identifier.MapVersion) conflict {
+	switch {
+	case r.Epoch > epoch:
+		return conflictEpoch
+	case r.latestVersion() > fallback:
+		return conflictLaterLeader
+	case r.Armed != 0:
+		return conflictArmed
+	}
+	return conflictUnknown
+}
+
+// maxReportTries bounds the reports that are read until two in a row agree on the orders to a rank.
+const maxReportTries = 4
+
+// agreedReport reads the report of a rank until two in a row agree on the orders to it. A single one may be spoiled.
+func (s *Switcher) agreedReport(ctx context.Context, m Member) (Report, error) {
+	last, err := s.cfg.Engines.Report(ctx, m)
+	for range maxReportTries {
+		next, nextErr := s.cfg.Engines.Report(ctx, m)
+		if err == nil && nextErr == nil && next.AgreesOnOrders(last) {
+			return next, nil
+		}
+		last, err = next, nextErr
+	}
+	return last, errors.CombineErrors(err, errors.Newf("the reports of %s differ", m.Upstream))
 }
 
 // disarm cancels the Arm of a version; version 0 means that the rank is not armed.
@@ -477,36 +580,46 @@
 // ErrSwitchInProgress means that an earlier switch is taking effect; the group has to be discovered again later.
 var ErrSwitchInProgress = errors.New("an earlier switch is taking effect; discover the group again")
 
-// Recover ends the unfinished switch of an earlier leader. That leader may still run and release the group while some
-// ranks are disarmed, so Recover first places its own hold on another rank. It returns ErrSwitchInProgress if it cannot
-// place one.
+// Recover ends an unfinished switch, of this leader or an earlier one. An earlier leader may still run and release the
+// group while some ranks are disarmed, so Recover first places its own hold on another rank. It returns
+// ErrSwitchInProgress if it cannot place one, and ErrSuperseded if the switch is that of a later leader. It ends the holds
+// of others only if this process has confirmed that it leads after the reports were read.
 func (s *Switcher) Recover(ctx context.Context, g Group, reports []Report, fallback identifier.MapVersion, inUse rebalancer.Layout) error {
-	armed, step, freeRank := identifier.MapVersion(0), identifier.Step(0), noRank
-	for i, r := range reports {
+	armed, step, isForeign := identifier.MapVersion(0), identifier.Step(0), false
+	for _, r := range reports {
+		if r.latestVersion() > fallback {
+			return ErrSuperseded
+		}
 		armed = max(armed, r.Armed)
 		if r.Held != nil {
 			step = max(step, *r.Held)
-		} else {
-			freeRank = i
+			isForeign = isForeign || !s.cfg.Holds.hasNamed(g.Epoch, *r.Held)
 		}
 	}
 	if step == 0 && armed == 0 {
 		return nil
 	}
+	freeRank := s.cfg.Holds.chooseRank(reports)
 	if step == 0 || freeRank == noRank {
 		return ErrSwitchInProgress
 	}
-	s.cfg.Holds.recordStep(g.Epoch, step)
+	if isForeign {
+		if err := s.cfg.Confirm(ctx); err != nil {
+			return errors.Wrap(err, "end the holds of an earlier leader")
+		}
+	}
 	ownHold := Hold{Step: step}
-	err := s.confirm(ctx, g.Members[freeRank], g.Epoch, ownHold, orderTimeout, StatusAccepted, StatusDone)
-	if errors.Is(err, errConflict) {
+	// A hold that is in place already may be that of another leader, which may end it at any time.
+	err := s.confirm(ctx, g.Members[freeRank], g.Epoch, ownHold, orderTimeout, StatusAccepted)
+	if errors.Is(err, errConflict) || errors.Is(err, errAlreadyDone) {
 		return ErrSwitchInProgress
 	}
 	if err != nil {
 		return err
 	}
-	if err := s.reset(ctx, g, armed, fallback, inUse); err != nil {
-		return err
+	resetErr := s.reset(ctx, g, armed, fallback, inUse)
+	if resetErr != nil && !errors.Is(resetErr, ErrSuperseded) {
+		return resetErr
 	}
 	heldSteps := map[Member]identifier.Step{g.Members[freeRank]: step}
 	for i, r := range reports {
@@ -514,17 +627,21 @@
 			heldSteps[g.Members[i]] = *r.Held
 		}
 	}
-	return s.forEachMember(ctx, g, func(ctx context.Context, m Member) error {
+	err = s.forEachMember(ctx, g, func(ctx context.Context, m Member) error {
 		heldStep, isHeld := heldSteps[m]
 		if !isHeld {
 			return nil
 		}
 		return s.confirm(ctx, m, g.Epoch, Release{Step: heldStep}, orderTimeout, StatusAccepted, StatusDone, StatusConflict)
 	})
+	if err != nil {
+		return err
+	}
+	return resetErr
 }
 
-// noRank is the index of no rank.
-const noRank = -1
+// errAlreadyDone is the error of an order that changes nothing, if it is required to.
+var errAlreadyDone = errors.New("the rank was already in the ordered state")
 
 var errConflict = errors.New("the order conflicts with the state of the rank")
 
@@ -563,7 +680,9 @@
 		return &ReplacedError{Upstream: m.Upstream}
 	case StatusConflict:
 		return errConflict
-	case StatusDone, StatusInvalid:
+	case StatusDone:
+		return errAlreadyDone
+	case StatusInvalid:
 	}
 	return errors.Newf("unexpected status %d", status)
 }
--- a/internal/version/mapswitcher/mapswitcher_test.go
+++ b/internal/version/mapswitcher/mapswitcher_test.go
@@ -44,6 +44,8 @@
 	step  identifier.Step
 	ranks [ranks]rank
 	mixed []identifier.Step
+	// passTime is the time between two steps; stepTime if it is 0.
+	passTime time.Duration
 	// idle is set while no requests run; an idle group begins no steps.
 	idle bool
 	// loseShare is the share of orders whose response is lost, and lateShare of those that are carried out seconds later.
@@ -65,7 +67,7 @@
 	var running sync.WaitGroup
 	running.Go(func() {
 		for ctx.Err() == nil {
-			time.Sleep(stepTime)
+			time.Sleep(max(g.passTime, stepTime))
 			g.beginStep()
 		}
 	})
--- a/internal/version/mapswitcher/stray.go
+++ b/internal/version/mapswitcher/stray.go
@@ -19,60 +19,71 @@
 // HoldLedger records the holds that a leader has ordered for a group. It outlives the Switchers of the group, and is safe
 // for concurrent use.
 type HoldLedger struct {
+	// turn is the remainder of the steps that this leader names, divided by turns.
+	turn   identifier.Step
 	mu     sync.Mutex
 	strays []strayHold
-	// epoch is the epoch of the last hold, and nextStep the first step in it that no order has named.
-	epoch    Epoch
-	nextStep identifier.Step
-	// isFirst is set if no other leader can have ordered holds before.
-	isFirst bool
+	// epoch is the epoch of the last hold, and named lists the steps that orders of this leader have named in it, the latest
+	// ones last.
+	epoch Epoch
+	named []identifier.Step
 }
 
-// NewHoldLedger returns an empty HoldLedger of a leader that may have followed another one.
-func NewHoldLedger() *HoldLedger {
-	return &HoldLedger{}
-}
+const (
+	// turns is the number of successive leaders that hold a group before different steps. A release names only a step, so a
+	// late one of a leader must not end a hold of one of the next two: two gateways may take over at the same time.
+	turns = 3
+	// maxNamed bounds the steps that are remembered. Orders are at most some seconds late, a few switches.
+	maxNamed = 64
+	// noRank is the index of no rank.
+	noRank = -1
+)
 
-// NewFirstHoldLedger returns an empty HoldLedger of the first leader.
-func NewFirstHoldLedger() *HoldLedger {
-	return &HoldLedger{isFirst: true}
+// NewHoldLedger returns an empty HoldLedger of a leader. Terms count the leaders of a group.
+func NewHoldLedger(term uint64) *HoldLedger {
+	return &HoldLedger{turn: identifier.Step(term % turns)}
 }
 
-// inheritedSteps is the number of steps beyond stepsAhead that an earlier leader may have named: one for each hold that it
-// could not confirm.
-const inheritedSteps = 2
-
-// enter records that a group is in an epoch; current is the step that began last. In the first epoch that it records,
-// holds keep clear of the steps that an earlier leader may have named, since its orders may still be carried out. The
-// caller holds mu.
-func (l *HoldLedger) enter(epoch Epoch, current identifier.Step) {
-	switch {
-	case l.epoch == epoch:
-		return
-	case l.epoch == 0 && !l.isFirst:
-		l.nextStep = current + stepsAhead + inheritedSteps
-	default:
-		l.nextStep = 0
+// enter records that a group is in an epoch. The caller holds mu.
+func (l *HoldLedger) enter(epoch Epoch) {
+	if l.epoch != epoch {
+		l.epoch, l.named = epoch, nil
 	}
-	l.epoch = epoch
 }
 
 // chooseStep returns the step before which a group is held next; current is the step that began last.
 func (l *HoldLedger) chooseStep(epoch Epoch, current identifier.Step) identifier.Step {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.enter(epoch, current)
-	step := max(current+stepsAhead, l.nextStep)
-	l.nextStep = step + 1
+	l.enter(epoch)
+	step := current + stepsAhead
+	for step%turns != l.turn || slices.Contains(l.named, step) {
+		step++
+	}
+	l.named = append(l.named, step)
+	if len(l.named) > maxNamed {
+		l.named = l.named[1:]
+	}
 	return step
 }
 
-// recordStep records that an order of an earlier leader has named a step, which no later hold may use.
-func (l *HoldLedger) recordStep(epoch Epoch, step identifier.Step) {
+// hasNamed reports whether a hold of this leader has named a step. That of no other recent leader has then.
+func (l *HoldLedger) hasNamed(epoch Epoch, step identifier.Step) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.enter(epoch, step)
-	l.nextStep = max(l.nextStep, step+1)
+	return l.epoch == epoch && slices.Contains(l.named, step)
+}
+
+// chooseRank returns the index of a rank that holds no step, or noRank. Of the ranks of a large group, it is one that the
+// other recent leaders would not choose.
+func (l *HoldLedger) chooseRank(reports []Report) int {
+	free := noRank
+	for i, r := range reports {
+		if r.Held == nil && (free == noRank || free%turns != int(l.turn) || i%turns == int(l.turn)) {
+			free = i
+		}
+	}
+	return free
 }
 
 func (l *HoldLedger) addStray(h strayHold) {
@@ -88,7 +99,7 @@
 func (l *HoldLedger) dueStrays(epoch Epoch, current identifier.Step) []strayHold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.enter(epoch, current)
+	l.enter(epoch)
 	l.strays = slices.DeleteFunc(l.strays, func(h strayHold) bool { return h.epoch != epoch || h.step <= current })
 	var out []strayHold
 	for _, h := range l.strays {
--- a/internal/version/mapswitcher/stray_test.go
+++ b/internal/version/mapswitcher/stray_test.go
@@ -99,6 +99,7 @@
 	l.switcher.EndStrayHolds(ctx, testGroup(), counts.Step)
 	if l.standstill.Observe(time.Now(), counts.Step, !l.engines.isIdle()) {
 		l.unresolved = true
+		l.recover(t)
 		return
 	}
 	if !switchMap || counts.Step < l.switchedAt {
@@ -153,14 +154,16 @@
 		leasedUntil = started.Add(100 * time.Millisecond)
 	}
 	allowed := func() bool { return leasedUntil.IsZero() || time.Now().Before(leasedUntil) }
-	first := &simulatedLeader{engines: engines, version: 2, switcher: mapswitcher.New(mapswitcher.Config{Engines: engines, Allowed: allowed})}
+	first := &simulatedLeader{engines: engines, version: 2, switcher: mapswitcher.New(mapswitcher.Config{
+		Engines: engines, Allowed: allowed, Holds: mapswitcher.NewHoldLedger(1),
+	})}
 	first.turn(t, true)
 	leader := first
 	if s.replaced {
 		time.Sleep(650 * time.Millisecond)
 		leader = &simulatedLeader{
 			engines: engines, version: 1000, unresolved: true,
-			switcher: mapswitcher.New(mapswitcher.Config{Engines: engines, Allowed: always}),
+			switcher: mapswitcher.New(mapswitcher.Config{Engines: engines, Allowed: always, Holds: mapswitcher.NewHoldLedger(2)}),
 		}
 	}
 	for n := 0; time.Since(started) < length; n++ {
