Do not extend the lease of the maps while another gateway leads

Two gateways could issue orders for as long as the platform's store was away: one that had been suspended, or cut off, while another one acquired the lease right before the outage, extended its own lease without the store.

Cause: the extension asked only whether the store answers any peer, not whether one of them leads.

Change: the lease is extended only while no peer says that it leads. Of two such leaders, the one whose term ends first stops, and the other one extends again. A summary of a domain never counts a gateway as its own peer.

Result: TestLeaseIsNotExtendedWhileAnotherGatewayLeads fails without the change (still leading after 6 s) and passes with it.

--- a/internal/process/gatewayrunner/groups.go
+++ b/internal/process/gatewayrunner/groups.go
@@ -242,7 +242,7 @@
 		}
 	}
 	for _, s := range g.gossiper.Summaries() {
-		if s.Leader != nil && time.Since(s.Leader.HeardAt) < leaderTimeout {
+		if s.Leader != nil && s.Leader.Node != g.settings.Node && time.Since(s.Leader.HeardAt) < leaderTimeout {
 			return true
 		}
 	}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// renew renews the lease and reports whether it is still held. If the platform is down for all gateways, it extends the
-// lease without the platform; if the platform responds to other gateways but not to this one, it resigns the lease
+// renew renews the lease and reports whether it is still held. If the platform is down for all gateways and no other one
+// leads, it extends the lease without the platform; if the platform responds to other gateways but not to this one, it resigns the lease
 // between two switches.
 func (l *Leader) renew(ctx context.Context) (bool, error) {
 	started := time.Now()
@@ -295,7 +295,7 @@
 		l.failingSince = started
 	}
 	since := l.failingSince.Add(outageSlack)
-	if time.Since(l.failingSince) >= outageAfter && l.cfg.PlatformDown(since) {
+	if time.Since(l.failingSince) >= outageAfter && l.cfg.PlatformDown(since) && !l.cfg.PeerLeads() {
 		l.cfg.Lease.Extend()
 		return held, err
 	}
--- a/internal/version/mapleader/takeover_test.go
+++ b/internal/version/mapleader/takeover_test.go
@@ -181,3 +181,28 @@
 		})
 	}
 }
+
+// Guards against two leaders for as long as the platform is away: another gateway may have acquired the lease just before.
+func TestLeaseIsNotExtendedWhileAnotherGatewayLeads(t *testing.T) {
+	t.Parallel()
+	for _, peerLeads := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			started := time.Now()
+			f := newFixture()
+			f.clock = func() time.Duration { return time.Since(started) }
+			f.platformDown = true
+			var hasPeer atomic.Bool
+			cfg := leaderConfig(f, &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}})
+			cfg.PeerLeads = hasPeer.Load
+			l := mapleader.New(cfg)
+			stop := startLeader(t, l)
+			time.Sleep(time.Second)
+			require.True(t, l.Leading())
+			f.store.refuse("a")
+			hasPeer.Store(peerLeads)
+			time.Sleep(6 * time.Second)
+			require.Equal(t, !peerLeads, l.Leading())
+			stop()
+		})
+	}
+}
