Reject counts that no rank can have

Callers saw their requests cut after a shift of demand: a rank whose answers are spoiled (a digit in place of a comma) gave one count too few, which ended the process of the gateway that led the expert maps.

Cause: after a shift, Estimator.Rebase stored the counts of further ranks whatever their number; the next sample indexed them with the number of the new ones. Negative, null and overflowing counts were taken as well.

Change: Shape.CheckCounts rejects counts of another number than the experts of all sets, below 0 or above 2^53, at every read of counts; Rebase ignores those of another number, as Observe does. A rank that gives only wrong answers is left out of a reading, and the sound one still counts.

--- a/internal/version/estimator/estimator.go
+++ b/internal/version/estimator/estimator.go
@@ -136,10 +136,12 @@
 }
 
 // Rebase records the cumulative counts of further ranks without taking them for a sample, so that the next sample of these
-// ranks begins now.
+// ranks begins now. Like Observe, it ignores counts of another number of experts.
 func (e *Estimator) Rebase(ranks []int, counts [][]float64) {
 	for i, c := range counts {
-		e.lastCounts[ranks[i]] = c
+		if len(c) == e.sets*e.experts {
+			e.lastCounts[ranks[i]] = c
+		}
 	}
 }
 
--- a/internal/version/estimator/estimator_test.go
+++ b/internal/version/estimator/estimator_test.go
@@ -342,3 +342,15 @@
 	}
 	return sum
 }
+
+// Guards against counts of another size that end the process once the rank is read again.
+func TestCountsOfAnotherSizeAreIgnored(t *testing.T) {
+	t.Parallel()
+	e := estimator.New(estimator.Config{Sets: 1, Experts: 3, Ranks: 2})
+	now := time.Unix(0, 0)
+	e.Rebase([]int{0, 1}, [][]float64{{10, 10}, {10, 10, 10, 10}})
+	require.Equal(t, estimator.VerdictSteady, e.Observe(now, []int{0, 1}, [][]float64{{10, 20, 30}, {10, 20}}))
+	require.Equal(t, []float64{1.0 / 6, 2.0 / 6, 3.0 / 6}, e.Popularity()[0], "the counts since the start of the rank")
+	e.Rebase([]int{0}, [][]float64{{20, 20}})
+	require.Equal(t, estimator.VerdictIdle, e.Observe(now.Add(time.Second), []int{0}, [][]float64{{10, 20, 30}}))
+}
--- a/internal/version/mapleader/answers.go
+++ b/internal/version/mapleader/answers.go
@@ -41,6 +41,16 @@
 	return out, err
 }
 
+// Counts returns the counts of a rank.
+func (e *checkedEngines) Counts(ctx context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
+	out, err := e.Engines.Counts(ctx, m)
+	if err == nil {
+		err = e.shape.CheckCounts(out)
+	}
+	e.rejections.record(m.Upstream, err)
+	return out, err
+}
+
 // rejectionInterval is the time between two log lines on the answers of one service. A rank that answers wrongly all the
 // time is asked many times a second.
 const rejectionInterval = time.Second
--- a/internal/version/mapleader/answers_test.go
+++ b/internal/version/mapleader/answers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,8 +23,23 @@
 	// spoilMap changes the map of a rank; reads is how often it was read before.
 	spoilMap func(address string, reads int, m *mapswitcher.RankMap)
 
-	mu       sync.Mutex
-	mapReads map[string]int
+	// spoilCounts changes the counts of a rank in the same way.
+	spoilCounts func(address string, reads int, c *mapswitcher.Counts)
+
+	mu         sync.Mutex
+	mapReads   map[string]int
+	countReads map[string]int
+}
+
+func (e *spoilingEngines) Counts(ctx context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
+	out, err := e.fakeEngines.Counts(ctx, m)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spoilCounts != nil {
+		e.spoilCounts(m.Address, e.countReads[m.Address], &out)
+	}
+	e.countReads[m.Address]++
+	return out, err
 }
 
 func (e *spoilingEngines) RankMap(ctx context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
@@ -39,7 +56,7 @@
 // newSpoilingLeader returns a leader of a group of spoilingEngines.
 func newSpoilingLeader(f *fixture, e *spoilingEngines) *mapleader.Leader {
 	e.fakeEngines = &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}
-	e.mapReads = map[string]int{}
+	e.mapReads, e.countReads = map[string]int{}, map[string]int{}
 	cfg := leaderConfig(f, e.fakeEngines)
 	cfg.Engines = e
 	f.meter = cfg.Meter
@@ -78,3 +95,35 @@
 		})
 	}
 }
+
+// Guards against wrong counts that end the process of the leader or its work on the group, whether one answer of a rank is
+// spoiled or all are.
+func TestSpoiledCountsAreReadAgain(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(*mapswitcher.Counts){
+		"one count too few":  func(c *mapswitcher.Counts) { c.Counts = c.Counts[1:] },
+		"one count too many": func(c *mapswitcher.Counts) { c.Counts = append(c.Counts, 7) },
+		"negative count":     func(c *mapswitcher.Counts) { c.Counts[2] = -900 },
+		"overflowing count":  func(c *mapswitcher.Counts) { c.Counts[0] = 1e308 },
+	} {
+		for _, always := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, always), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture()
+					stop := startLeader(t, newSpoilingLeader(f, &spoilingEngines{spoilCounts: func(address string, reads int, c *mapswitcher.Counts) {
+						if address == "1" && (always || reads == 1) {
+							spoil(c)
+						}
+					}}))
+					time.Sleep(6 * time.Second)
+					stop()
+					require.Contains(t, f.log.String(), `"event":721`, "the map is switched")
+					require.Equal(t, 1, strings.Count(f.log.String(), `"event":733`), "the group is found once")
+					require.Contains(t, f.log.String(), `"event":743`)
+					require.Equal(t, !always, f.meter.Count(meter.AnswersRejected) == 1)
+				})
+			})
+		}
+	}
+}
--- a/internal/version/mapleader/counts.go
+++ b/internal/version/mapleader/counts.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/version/estimator"
 	"currantledge.example/currantledge/internal/version/mapswitcher"
@@ -50,7 +52,7 @@
 }
 
 // observeCounts reads the counts of some ranks and passes them to the estimator and the sampler. It returns those of the
-// first rank.
+// first rank that could be read.
 func (l *Leader) observeCounts(ctx context.Context, g *managedGroup, reading sampler.Reading) (mapswitcher.Counts, error) {
 	ranks, members := g.ranks(0, sampler.UsualRanks)
 	furtherRanks, further := g.ranks(sampler.UsualRanks, reading.Ranks)
@@ -59,19 +61,20 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		furtherCounts, furtherErrs = gather(ctx, further, 1, l.cfg.Engines.Counts)
+		furtherCounts, furtherErrs = gather(ctx, further, 1, g.engines.Counts)
 	}()
-	counts, errs := gather(ctx, members, maxCallTries, l.cfg.Engines.Counts)
+	counts, errs := gather(ctx, members, maxCallTries, g.engines.Counts)
 	<-done
+	l.countNumbers(reading.Reason, append(counts, furtherCounts...))
+	usable, err := usableCounts(g.group.Epoch, counts, errs)
+	if err != nil {
+		return mapswitcher.Counts{}, err
+	}
+	first, usual := counts[usable[0]], ranks
+	ranks = nil
 	var values [][]float64
-	for i, c := range counts {
-		if errs[i] != nil {
-			return mapswitcher.Counts{}, errs[i]
-		}
-		if c.Epoch != g.group.Epoch {
-			return mapswitcher.Counts{}, mapswitcher.ErrEpochChanged
-		}
-		values = append(values, c.Counts)
+	for _, i := range usable {
+		ranks, values = append(ranks, usual[i]), append(values, counts[i].Counts)
 	}
 	for i, c := range furtherCounts {
 		if furtherErrs[i] == nil && c.Epoch == g.group.Epoch && g.rebased[furtherRanks[i]] {
@@ -79,28 +82,49 @@
 		}
 	}
 	clear(g.rebased)
-	l.countNumbers(reading.Reason, append(counts, furtherCounts...))
-	if err := l.endHolds(ctx, g, counts[0].Step); err != nil {
+	if err := l.endHolds(ctx, g, first.Step); err != nil {
 		return mapswitcher.Counts{}, err
 	}
 	now := time.Now()
 	verdict := g.estimator.Observe(now, ranks, values)
 	g.sampler.RecordRead(now, verdict)
 	g.seenAt, g.lastReason = now, reading.Reason
-	g.steps.record(now, counts[0].Step)
+	g.steps.record(now, first.Step)
 	if verdict == estimator.VerdictIdle {
 		// Ranks in a failure domain that is out of service serve no requests, so their counts show no demand. Such ranks
 		// may be neighbours, so the next ones are half of the group away.
 		g.firstSampled += len(g.group.Members)/2 + 1
 	}
-	return counts[0], nil
+	return first, nil
+}
+
+// usableCounts returns the indexes of the counts that are of an epoch and could be read. A rank that gives only wrong answers
+// is left out. It returns an error if another rank did not respond, or if no counts are left.
+func usableCounts(epoch mapswitcher.Epoch, counts []mapswitcher.Counts, errs []error) ([]int, error) {
+	var usable []int
+	wrong := mapswitcher.ErrEpochChanged
+	for i, c := range counts {
+		var answer *mapswitcher.AnswerError
+		switch {
+		case errors.As(errs[i], &answer):
+			wrong = errs[i]
+		case errs[i] != nil:
+			return nil, errs[i]
+		case c.Epoch == epoch:
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return nil, wrong
+	}
+	return usable, nil
 }
 
 // rebase reads the counts of the ranks that are read beside the usual ones after a shift, from which on their next counts
 // are a sample of the new demand. Ranks that do not respond are left out, since the usual ones suffice for a map.
 func (l *Leader) rebase(ctx context.Context, g *managedGroup) {
 	ranks, members := g.ranks(sampler.UsualRanks, sampler.ShiftedRanks)
-	counts, errs := gather(ctx, members, 1, l.cfg.Engines.Counts)
+	counts, errs := gather(ctx, members, 1, g.engines.Counts)
 	for i, c := range counts {
 		if errs[i] == nil && c.Epoch == g.group.Epoch {
 			g.estimator.Rebase(ranks[i:i+1], [][]float64{c.Counts})
@@ -115,7 +139,7 @@
 func (l *Leader) checkIdle(ctx context.Context, g *managedGroup) error {
 	g.checks++
 	m := g.group.Members[g.checks%len(g.group.Members)]
-	reports, errs := gather(ctx, []mapswitcher.Member{m}, maxCallTries, l.cfg.Engines.Report)
+	reports, errs := gather(ctx, []mapswitcher.Member{m}, maxCallTries, g.engines.Report)
 	if errs[0] != nil {
 		return errs[0]
 	}
--- a/internal/version/rankchecker/rankchecker.go
+++ b/internal/version/rankchecker/rankchecker.go
@@ -43,6 +43,26 @@
 	return nil
 }
 
+// maxCount is the highest count that is exact. Sums of such counts do not overflow.
+const maxCount = 1 << 53
+
+// CheckCounts returns an AnswerError if no rank of a group of this shape can have the counts.
+func (s Shape) CheckCounts(c mapswitcher.Counts) error {
+	if len(c.Counts) != s.Sets*s.Experts {
+		return invalid("counts", strconv.Itoa(len(c.Counts)), "the number of experts of all sets is "+strconv.Itoa(s.Sets*s.Experts))
+	}
+	for i, n := range c.Counts {
+		if !(n >= 0 && n <= maxCount) {
+			return invalid("count "+strconv.Itoa(i), formatCount(n), "counts are from 0 to "+formatCount(maxCount))
+		}
+	}
+	return nil
+}
+
+func formatCount(n float64) string {
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
+
 // NewLayout returns the layout of a group from the maps of all its ranks, which CheckRankMap has accepted. It returns an
 // AnswerError if the maps are not those of one group: they differ in version, or no rank holds some expert. A rank that
 // lists a wrong expert is then among them, though not known.
--- a/internal/version/rankchecker/rankchecker_test.go
+++ b/internal/version/rankchecker/rankchecker_test.go
@@ -1,6 +1,7 @@
 package rankchecker_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -76,3 +77,22 @@
 	_, err = shape.NewLayout(maps)
 	requireRejected(t, err, "map of rank 1", "7 in epoch 4")
 }
+
+// Guards against counts that index those of another size, and against sums that overflow.
+func TestImpossibleCountsAreRejected(t *testing.T) {
+	t.Parallel()
+	require.NoError(t, shape.CheckCounts(mapswitcher.Counts{Counts: []float64{0, 5120, 88, 940, 1 << 53, 2, 3, 4}}))
+	for _, test := range []struct {
+		counts       []float64
+		field, value string
+	}{
+		{nil, "counts", "0"},
+		{make([]float64, 7), "counts", "7"},
+		{make([]float64, 9), "counts", "9"},
+		{[]float64{0, 0, -1, 0, 0, 0, 0, 0}, "count 2", "-1"},
+		{[]float64{0, 0, 0, 0, 0, 0, 0, 1e300}, "count 7", "1e+300"},
+		{[]float64{math.NaN(), 0, 0, 0, 0, 0, 0, 0}, "count 0", "NaN"},
+	} {
+		requireRejected(t, shape.CheckCounts(mapswitcher.Counts{Counts: test.counts}), test.field, test.value)
+	}
+}
