Confirm unlikely steps and counts of ranks by a second answer

Callers waited for slow passes: after one misread step of a rank, the leader of the expert maps no longer changed the map of that group, while demand shifted.

Cause: Switcher.hold took the step of one answer for the current one. A step far ahead (a digit before it) holds nothing, the leader waited for it before its next change, and the ledger of holds named only later ones.

Change: rankchecker.Checker compares the step of each answer with the last one of any rank, by the shortest time of a pass, and the counts of a rank with its last ones, which never decrease. What is unlikely counts once a second answer in a row confirms it. A hold reads again after a rejected answer.

--- a/internal/version/mapleader/answers.go
+++ b/internal/version/mapleader/answers.go
@@ -18,15 +18,20 @@
 // again.
 type checkedEngines struct {
 	mapswitcher.Engines
-	shape      rankchecker.Shape
+	// epoch is that of the group once it is known, else 0.
+	epoch      mapswitcher.Epoch
+	checker    *rankchecker.Checker
 	rejections *rejections
 }
 
 // newCheckedEngines returns the client of the ranks of a group of a service.
 func (l *Leader) newCheckedEngines(st *serviceState) *checkedEngines {
 	return &checkedEngines{
-		Engines:    l.cfg.Engines,
-		shape:      rankchecker.Shape{Sets: st.Engine.Sets, Experts: st.Engine.Experts, Places: st.Engine.Places},
+		Engines: l.cfg.Engines,
+		checker: rankchecker.New(rankchecker.Config{
+			Shape:    rankchecker.Shape{Sets: st.Engine.Sets, Experts: st.Engine.Experts, Places: st.Engine.Places},
+			PassTime: st.Engine.StepTime * time.Duration(max(st.Engine.StepsPerPass, 1)),
+		}),
 		rejections: st.rejections,
 	}
 }
@@ -35,7 +40,7 @@
 func (e *checkedEngines) RankMap(ctx context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
 	out, err := e.Engines.RankMap(ctx, m)
 	if err == nil {
-		err = e.shape.CheckRankMap(out)
+		err = e.checker.CheckRankMap(out)
 	}
 	e.rejections.record(m.Upstream, err)
 	return out, err
@@ -45,7 +50,7 @@
 func (e *checkedEngines) Counts(ctx context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
 	out, err := e.Engines.Counts(ctx, m)
 	if err == nil {
-		err = e.shape.CheckCounts(out)
+		err = e.checker.CheckCounts(time.Now(), m.Upstream, e.epoch, out)
 	}
 	e.rejections.record(m.Upstream, err)
 	return out, err
--- a/internal/version/mapleader/answers_test.go
+++ b/internal/version/mapleader/answers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,3 +128,84 @@
 		}
 	}
 }
+
+// misreadEngines is a fake of a group that makes passes, and whose demand shifts every shiftInterval. Rank 0 spoils a part of
+// its answers: a digit stands before the step.
+type misreadEngines struct {
+	*haltingEngines
+	// spoilEach is the number of answers of which one is spoiled; 0 for none.
+	spoilEach int
+	started   time.Time
+	answers   atomic.Int64
+	armsMu    sync.Mutex
+	// arms holds the steps for which rank 0 was armed.
+	arms map[identifier.Step]bool
+}
+
+func (e *misreadEngines) Order(ctx context.Context, m mapswitcher.Member, epoch mapswitcher.Epoch, o mapswitcher.Order) (mapswitcher.Status, error) {
+	if arm, is := o.(mapswitcher.Arm); is && m.Address == "0" {
+		e.armsMu.Lock()
+		e.arms[arm.Step] = true
+		e.armsMu.Unlock()
+	}
+	return e.haltingEngines.Order(ctx, m, epoch, o)
+}
+
+const shiftInterval = 3 * time.Second
+
+func (e *misreadEngines) Counts(ctx context.Context, m mapswitcher.Member) (mapswitcher.Counts, error) {
+	counts, err := e.haltingEngines.Counts(ctx, m)
+	shifts := int(time.Since(e.started) / shiftInterval)
+	for i := range counts.Counts {
+		// Requests choose a quarter of the experts, others after each shift.
+		counts.Counts[i] = 1
+		for s := range shifts + 1 {
+			if (i+5*s)%4 == 0 {
+				counts.Counts[i] += 500 * min(time.Since(e.started)-time.Duration(s)*shiftInterval, shiftInterval).Seconds()
+			}
+		}
+	}
+	if m.Address == "0" && e.spoilEach != 0 && e.answers.Add(1)%int64(e.spoilEach) == 0 {
+		counts.Step += 1000
+	}
+	return counts, err
+}
+
+// Guards against a leader that no longer changes the map since a rank has told it a step that is far ahead: it would hold the
+// group before a step that does not begin, and wait for it.
+func TestMisreadStepStopsNoMapChange(t *testing.T) {
+	t.Parallel()
+	play := func(t *testing.T, spoilEach int) (switches int) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			e := &misreadEngines{
+				haltingEngines: &haltingEngines{holds: map[string]identifier.Step{}}, arms: map[identifier.Step]bool{},
+				spoilEach: spoilEach, started: time.Now(),
+			}
+			e.fakeEngines = fakeEngines{held: map[string]bool{}, armed: map[string]bool{}, popular: true}
+			cfg := leaderConfig(f, &e.fakeEngines)
+			cfg.Engines, cfg.Busy = e, e.isBusy
+			e.setBusy(true)
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { e.run(ctx) })
+			stop := startLeader(t, mapleader.New(cfg))
+			time.Sleep(8 * shiftInterval)
+			stop()
+			cancel()
+			running.Wait()
+			for step := range e.arms {
+				if step <= e.currentStep() {
+					switches++
+				}
+			}
+		})
+		return switches
+	}
+	sound := play(t, 0)
+	require.GreaterOrEqual(t, sound, 7, "one change for each shift")
+	for _, spoilEach := range []int{2, 3, 5, 9} {
+		require.GreaterOrEqual(t, play(t, spoilEach), sound-1, "one in %d", spoilEach)
+	}
+}
--- a/internal/version/mapleader/mapleader.go
+++ b/internal/version/mapleader/mapleader.go
@@ -554,7 +554,7 @@
 			return 0, errs[i]
 		}
 		var layout rebalancer.Layout
-		if layout, err = g.engines.shape.NewLayout(maps); err == nil {
+		if layout, err = g.engines.checker.NewLayout(maps); err == nil {
 			g.layout = layout
 			return maps[0].Epoch, nil
 		}
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -13,6 +13,7 @@
 	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/internal/version/estimator"
 	"currantledge.example/currantledge/internal/version/mapswitcher"
+	"currantledge.example/currantledge/internal/version/rankchecker"
 )
 
 // serviceState is what the leader knows of the groups of a service.
@@ -262,6 +263,21 @@
 	return true
 }
 
+// medianStep returns the step of most reports of an epoch; 0 if there are none.
+func (g *groupReports) medianStep(epoch mapswitcher.Epoch) identifier.Step {
+	var steps []identifier.Step
+	for _, r := range g.reports {
+		if r.Epoch == epoch {
+			steps = append(steps, r.Step)
+		}
+	}
+	if len(steps) == 0 {
+		return 0
+	}
+	slices.Sort(steps)
+	return steps[len(steps)/2]
+}
+
 func (l *Leader) newManagedGroup(ctx context.Context, st *serviceState, id identifier.GroupID, reported *groupReports) (*managedGroup, error) {
 	if st.holds[id] == nil {
 		st.holds[id] = mapswitcher.NewHoldLedger(l.cfg.Lease.Term())
@@ -291,7 +307,8 @@
 	if err != nil {
 		return nil, err
 	}
-	g.group.Epoch = epoch
+	g.group.Epoch, engines.epoch = epoch, epoch
+	engines.checker.Expect(rankchecker.Step{Step: reported.medianStep(epoch), At: g.foundAt.Add(-reportLag)})
 	for _, r := range reported.reports {
 		// Holds and armed maps end with their epoch.
 		g.unresolved = g.unresolved || r.Epoch == g.group.Epoch && (r.Held != nil || r.Armed != 0)
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -427,7 +427,7 @@
 	holder := g.Members[0]
 	rejected := identifier.Step(0)
 	for range maxHoldTries {
-		counts, err := s.cfg.Engines.Counts(ctx, holder)
+		counts, err := s.readCounts(ctx, holder)
 		if err != nil {
 			return 0, errors.CombineErrors(ErrAbandoned, err)
 		}
@@ -454,6 +454,20 @@
 	return 0, errors.CombineErrors(ErrAbandoned, errors.New("the rank rejected every hold ahead of the group"))
 }
 
+// readCounts reads the counts of a rank. It reads them again after an answer that no sound rank can give.
+func (s *Switcher) readCounts(ctx context.Context, m Member) (Counts, error) {
+	var counts Counts
+	var err error
+	for range maxReportTries {
+		counts, err = s.cfg.Engines.Counts(ctx, m)
+		var answer *AnswerError
+		if !errors.As(err, &answer) {
+			break
+		}
+	}
+	return counts, err
+}
+
 // release lets a held group begin the step. It also runs after ctx has ended.
 func (s *Switcher) release(ctx context.Context, g Group, step identifier.Step) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
