Check the reports of ranks where they enter

A rank whose answers are spoiled decided by single numbers of its report which ranks make up a group, and made the leader of the expert maps discover an idle group anew. A spoiled state counted as a closed group.

Cause: reports were decoded by shape alone.

An idle group counts as closed or formed again once a second report shows it.

--- a/internal/version/mapleader/answers.go
+++ b/internal/version/mapleader/answers.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// Report returns the state of a rank.
+func (e *checkedEngines) Report(ctx context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+	return e.rejections.report(ctx, e.Engines, m)
+}
+
 // RankMap returns the expert map of a rank.
 func (e *checkedEngines) RankMap(ctx context.Context, m mapswitcher.Member) (mapswitcher.RankMap, error) {
 	out, err := e.Engines.RankMap(ctx, m)
@@ -72,6 +77,16 @@
 	unlogged int
 }
 
+// report returns the state of a rank, or an error if no rank can be in it.
+func (r *rejections) report(ctx context.Context, engines mapswitcher.Engines, m mapswitcher.Member) (mapswitcher.Report, error) {
+	out, err := engines.Report(ctx, m)
+	if err == nil {
+		err = rankchecker.CheckReport(out)
+	}
+	r.record(m.Upstream, err)
+	return out, err
+}
+
 // record records the error of an answer, if it is one that no sound rank can give. The upstream is empty if the answers of
 // several ranks contradict each other.
 func (r *rejections) record(upstream identifier.Upstream, err error) {
--- a/internal/version/mapleader/answers_test.go
+++ b/internal/version/mapleader/answers_test.go
@@ -209,3 +209,43 @@
 		require.GreaterOrEqual(t, play(t, spoilEach), sound-1, "one in %d", spoilEach)
 	}
 }
+
+// spoiledReports is a fake of an idle group some of whose reports are spoiled.
+type spoiledReports struct {
+	*fakeEngines
+	spoil   func(*mapswitcher.Report)
+	answers atomic.Int64
+}
+
+func (e *spoiledReports) Report(ctx context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+	report, err := e.fakeEngines.Report(ctx, m)
+	if e.answers.Add(1)%4 == 0 {
+		e.spoil(&report)
+	}
+	return report, err
+}
+
+// Guards against a group that is read anew, or not found, because one of its many reports was spoiled.
+func TestSpoiledReportsAreReadAgain(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(*mapswitcher.Report){
+		"later epoch":  func(r *mapswitcher.Report) { r.Epoch = 11 },
+		"other rank":   func(r *mapswitcher.Report) { r.Rank += 10 },
+		"no such size": func(r *mapswitcher.Report) { r.Size = -2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				engines := &spoiledReports{fakeEngines: &fakeEngines{held: map[string]bool{}, armed: map[string]bool{}}, spoil: spoil}
+				cfg := leaderConfig(f, engines.fakeEngines)
+				cfg.Engines = engines
+				cfg.Busy = func(identifier.GroupID) bool { return false }
+				stop := startLeader(t, mapleader.New(cfg))
+				time.Sleep(20 * time.Second)
+				stop()
+				require.Equal(t, 1, strings.Count(f.log.String(), `"event":733`), "the group is found once")
+			})
+		})
+	}
+}
--- a/internal/version/mapleader/counts.go
+++ b/internal/version/mapleader/counts.go
@@ -139,16 +139,29 @@
 func (l *Leader) checkIdle(ctx context.Context, g *managedGroup) error {
 	g.checks++
 	m := g.group.Members[g.checks%len(g.group.Members)]
-	reports, errs := gather(ctx, []mapswitcher.Member{m}, maxCallTries, g.engines.Report)
-	if errs[0] != nil {
-		return errs[0]
+	read := func() (mapswitcher.Report, error) {
+		reports, errs := gather(ctx, []mapswitcher.Member{m}, maxCallTries, g.engines.Report)
+		return reports[0], errs[0]
+	}
+	r, err := read()
+	if err != nil {
+		return err
 	}
 	now := time.Now()
 	g.seenAt = now
-	r := reports[0]
 	g.steps.record(now, r.Step)
 	isOld := now.Sub(g.foundAt) < 2*reportLag || l.recentlyOpened(g.id())
-	if !isOld && (!r.Open || r.Epoch != g.group.Epoch) || r.Epoch > g.group.Epoch {
+	hasChanged := func(r mapswitcher.Report) bool {
+		return !isOld && (!r.Open || r.Epoch != g.group.Epoch) || r.Epoch > g.group.Epoch
+	}
+	if !hasChanged(r) {
+		return nil
+	}
+	// A single report may be spoiled.
+	if r, err = read(); err != nil {
+		return err
+	}
+	if hasChanged(r) {
 		return mapswitcher.ErrEpochChanged
 	}
 	return nil
--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -100,7 +100,7 @@
 
 // searchUnknown calls upstreams once and reads further only if one reports an unknown group that is open.
 func (l *Leader) searchUnknown(ctx context.Context, st *serviceState, members []mapswitcher.Member) {
-	reports, errs := gather(ctx, members, 1, l.cfg.Engines.Report)
+	reports, errs := gather(ctx, members, 1, l.reportReader(st))
 	var candidates []mapswitcher.Member
 	for i, r := range reports {
 		id := identifier.GroupID{Service: st.Name, Group: r.Group}
@@ -112,6 +112,13 @@
 	l.discoverGroups(ctx, st, identifier.GroupID{Service: st.Name}, candidates)
 }
 
+// reportReader returns a function that reads the state of an upstream whose group is not known.
+func (l *Leader) reportReader(st *serviceState) func(context.Context, mapswitcher.Member) (mapswitcher.Report, error) {
+	return func(ctx context.Context, m mapswitcher.Member) (mapswitcher.Report, error) {
+		return st.rejections.report(ctx, l.cfg.Engines, m)
+	}
+}
+
 // addresses returns the addresses of ranks.
 func addresses(members []mapswitcher.Member) []string {
 	out := make([]string, 0, len(members))
@@ -168,7 +175,7 @@
 	if !l.recentlyOpened(wanted) && l.isClosed(ctx, st, wanted, members) {
 		return
 	}
-	reports, errs := gather(ctx, members, maxCallTries, l.cfg.Engines.Report)
+	reports, errs := gather(ctx, members, maxCallTries, l.reportReader(st))
 	groups := map[identifier.GroupID]*groupReports{}
 	closed := map[identifier.GroupID]bool{}
 	for i, r := range reports {
@@ -214,7 +221,7 @@
 	for probe := 0; err != nil && probe < min(maxProbes, len(members)); probe++ {
 		st.probes++
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		report, err = l.cfg.Engines.Report(callCtx, members[st.probes%len(members)])
+		report, err = l.reportReader(st)(callCtx, members[st.probes%len(members)])
 		cancel()
 	}
 	if err != nil || report.Open || report.Group == "" {
--- a/internal/version/rankchecker/rankchecker.go
+++ b/internal/version/rankchecker/rankchecker.go
@@ -21,6 +21,20 @@
 	Places  int
 }
 
+// CheckReport returns an AnswerError if a rank of no group can report this. The size is 0 if a rank does not tell it.
+func CheckReport(r mapswitcher.Report) error {
+	switch {
+	case r.Size < 0 || r.Size > maxRanks:
+		return invalid("size", strconv.Itoa(r.Size), "a group has 1 to "+strconv.Itoa(maxRanks)+" ranks")
+	case r.Rank < 0 || r.Size > 0 && int(r.Rank) >= r.Size:
+		return invalid("rank", strconv.Itoa(int(r.Rank)), "the size of the group is "+strconv.Itoa(r.Size))
+	}
+	return nil
+}
+
+// maxRanks is more than any group has.
+const maxRanks = 1 << 16
+
 // CheckRankMap returns an AnswerError if no rank of a group of this shape can have the map.
 func (s Shape) CheckRankMap(m mapswitcher.RankMap) error {
 	if len(m.Experts) != s.Sets {
--- a/internal/version/rankchecker/rankchecker_test.go
+++ b/internal/version/rankchecker/rankchecker_test.go
@@ -96,3 +96,24 @@
 		requireRejected(t, shape.CheckCounts(mapswitcher.Counts{Counts: test.counts}), test.field, test.value)
 	}
 }
+
+// Guards against reports whose numbers put a rank into no group, or into that of others.
+func TestImpossibleReportsAreRejected(t *testing.T) {
+	t.Parallel()
+	require.NoError(t, rankchecker.CheckReport(mapswitcher.Report{}))
+	require.NoError(t, rankchecker.CheckReport(mapswitcher.Report{Group: "g", Rank: 15, Size: 16}))
+	for _, test := range []struct {
+		rank         identifier.Rank
+		size         int
+		field, value string
+	}{
+		{16, 16, "rank", "16"},
+		{112, 16, "rank", "112"},
+		{-1, 16, "rank", "-1"},
+		{-1, 0, "rank", "-1"},
+		{1, -16, "size", "-16"},
+		{1, 1 << 40, "size", "1099511627776"},
+	} {
+		requireRejected(t, rankchecker.CheckReport(mapswitcher.Report{Group: "g", Rank: test.rank, Size: test.size}), test.field, test.value)
+	}
+}
