Take a hold that a rank reports as done for the own one

Cause: Recover took status 200 for the hold of another leader. Ranks also respond with it to a hold that they have just placed; the fakes of the tests did not.

Change: both statuses count as before. Two leaders are kept apart by the rank that they choose. The step at which a group is found is the median of all reports, also if the epoch has changed since.

--- a/internal/version/mapleader/search.go
+++ b/internal/version/mapleader/search.go
@@ -270,16 +270,11 @@
 	return true
 }
 
-// medianStep returns the step of most reports of an epoch; 0 if there are none.
-func (g *groupReports) medianStep(epoch mapswitcher.Epoch) identifier.Step {
-	var steps []identifier.Step
+// medianStep returns the median of the reported steps, which a few wrong ones do not move.
+func (g *groupReports) medianStep() identifier.Step {
+	steps := make([]identifier.Step, 0, len(g.reports))
 	for _, r := range g.reports {
-		if r.Epoch == epoch {
-			steps = append(steps, r.Step)
-		}
-	}
-	if len(steps) == 0 {
-		return 0
+		steps = append(steps, r.Step)
 	}
 	slices.Sort(steps)
 	return steps[len(steps)/2]
@@ -315,7 +310,7 @@
 		return nil, err
 	}
 	g.group.Epoch, engines.epoch = epoch, epoch
-	engines.checker.Expect(rankchecker.Step{Step: reported.medianStep(epoch), At: g.foundAt.Add(-reportLag)})
+	engines.checker.Expect(rankchecker.Step{Step: reported.medianStep(), At: g.foundAt.Add(-reportLag)})
 	for _, r := range reported.reports {
 		// Holds and armed maps end with their epoch.
 		g.unresolved = g.unresolved || r.Epoch == g.group.Epoch && (r.Held != nil || r.Armed != 0)
--- a/internal/version/mapswitcher/mapswitcher.go
+++ b/internal/version/mapswitcher/mapswitcher.go
@@ -623,9 +623,8 @@
 		}
 	}
 	ownHold := Hold{Step: step}
-	// A hold that is in place already may be that of another leader, which may end it at any time.
-	err := s.confirm(ctx, g.Members[freeRank], g.Epoch, ownHold, orderTimeout, StatusAccepted)
-	if errors.Is(err, errConflict) || errors.Is(err, errAlreadyDone) {
+	err := s.confirm(ctx, g.Members[freeRank], g.Epoch, ownHold, orderTimeout, StatusAccepted, StatusDone)
+	if errors.Is(err, errConflict) {
 		return ErrSwitchInProgress
 	}
 	if err != nil {
@@ -654,9 +653,6 @@
 	return resetErr
 }
 
-// errAlreadyDone is the error of an order that changes nothing, if it is required to.
-var errAlreadyDone = errors.New("the rank was already in the ordered state")
-
 var errConflict = errors.New("the order conflicts with the state of the rank")
 
 // confirm repeats an order until the rank responds. It returns nil if the status is one of the accepted ones.
@@ -694,9 +690,7 @@
 		return &ReplacedError{Upstream: m.Upstream}
 	case StatusConflict:
 		return errConflict
-	case StatusDone:
-		return errAlreadyDone
-	case StatusInvalid:
+	case StatusDone, StatusInvalid:
 	}
 	return errors.Newf("unexpected status %d", status)
 }
--- a/internal/version/mapswitcher/mapswitcher_test.go
+++ b/internal/version/mapswitcher/mapswitcher_test.go
@@ -46,6 +46,8 @@
 	mixed []identifier.Step
 	// passTime is the time between two steps; stepTime if it is 0.
 	passTime time.Duration
+	// respondsDone makes ranks respond to a hold with StatusDone, since it takes no time.
+	respondsDone bool
 	// idle is set while no requests run; an idle group begins no steps.
 	idle bool
 	// loseShare is the share of orders whose response is lost, and lateShare of those that are carried out seconds later.
@@ -226,6 +228,9 @@
 			return mapswitcher.StatusConflict
 		}
 		r.held = &o.Step
+		if g.respondsDone {
+			return mapswitcher.StatusDone
+		}
 	case mapswitcher.Release:
 		if r.held != nil && *r.held == o.Step {
 			r.held = nil
