Add review case 12: cold runners get more requests than their bound

Cause: each gateway spaces its requests to a cold upstream by the full bound and the number of gateways, without a reserve for how its windows coincide.

--- a/review/tool-3/leaving.go
+++ b/review/tool-3/leaving.go
@@ -146,7 +146,12 @@
 
 // startRunner starts a sound runner of the service of configuration and registers it.
 func (s *scene) startRunner(id string, slots int, work time.Duration) (*runner, error) {
-	n := &runner{id: id, service: "xano55b", zone: "pl-central-a", slots: slots, work: work, record: s.record}
+	return s.startRunnerIn("pl-central-a", id, slots, work)
+}
+
+// startRunnerIn does so in a zone.
+func (s *scene) startRunnerIn(zone, id string, slots int, work time.Duration) (*runner, error) {
+	n := &runner{id: id, service: "xano55b", zone: zone, slots: slots, work: work, record: s.record}
 	if err := n.start(); err != nil {
 		return nil, err
 	}
--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -38,7 +38,9 @@
 
 // cases are the cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(*scene) ([]string, error){
-	"leaving": playLeaving,
+	"leaving":   playLeaving,
+	"headLimit": playHeadLimit,
+	"cold":      playCold,
 }
 
 func main() {
