Add review case 11: a part that crashes runners after their first event

Cause: a crash counts only if the stream had no event, and the first event marks all parts of the prompt as sound.

--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -41,6 +41,8 @@
 	"leaving":   playLeaving,
 	"headLimit": playHeadLimit,
 	"cold":      playCold,
+	"poison":    func(s *scene) ([]string, error) { return playPoison(s, 1) },
+	"poison0":   func(s *scene) ([]string, error) { return playPoison(s, 0) },
 }
 
 func main() {
