--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -38,11 +38,15 @@
 
 // cases are the cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(*scene) ([]string, error){
+	"poison": func(s *scene) ([]string, error) { return playPoison(s, 8, 1, 0) },
+	// The runner crashes before its first event.
+	"poison0":   func(s *scene) ([]string, error) { return playPoison(s, 8, 0, 0) },
+	"cold":      playCold,
 	"leaving":   playLeaving,
 	"headLimit": playHeadLimit,
-	"cold":      playCold,
-	"poison":    func(s *scene) ([]string, error) { return playPoison(s, 1) },
-	"poison0":   func(s *scene) ([]string, error) { return playPoison(s, 0) },
+	// The deadly part is followed by nine others that sound requests share, or by five.
+	"longPrompt":  func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 9) },
+	"shortPrompt": func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 5) },
 }
 
 func main() {
--- a/review/tool-3/poison.go
+++ b/review/tool-3/poison.go
@@ -124,8 +124,8 @@
 }
 
 // playPoison sends requests with a part that crashes each runner which begins to write an answer, and checks that they stop
-// reaching runners.
-func playPoison(s *scene, eventsBeforeCrash int) ([]string, error) {
+// reaching runners. Each prompt has some further parts behind that one, which sound requests share.
+func playPoison(s *scene, runners, eventsBeforeCrash, furtherParts int) ([]string, error) {
 	const stableWindow = 3 * time.Second
 	if err := s.startStore(); err != nil {
 		return nil, err
@@ -136,7 +136,7 @@
 		defer t.mu.Unlock()
 		t.closed = true
 	})
-	for i := range 8 {
+	for i := range runners {
 		if err := t.start("", []string{"pl-central-a", "pl-central-b"}[i%2]); err != nil {
 			return nil, err
 		}
@@ -153,6 +153,9 @@
 	serial := 0
 	send := func(name string, parts ...string) {
 		serial++
+		for i := range furtherParts {
+			parts = append(parts, fmt.Sprintf("0a7e%04x:60", i))
+		}
 		c := clients[serial%len(clients)]
 		id := fmt.Sprintf("%s-%04d", name, serial)
 		parts = append(parts, fmt.Sprintf("%08x:250", serial))
