--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -38,15 +38,17 @@
 
 // cases are the cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(*scene) ([]string, error){
-	"poison": func(s *scene) ([]string, error) { return playPoison(s, 8, 1, 0) },
+	"poison": func(s *scene) ([]string, error) { return playPoison(s, 8, 1, 0, 1) },
 	// The runner crashes before its first event.
-	"poison0":   func(s *scene) ([]string, error) { return playPoison(s, 8, 0, 0) },
+	"poison0":   func(s *scene) ([]string, error) { return playPoison(s, 8, 0, 0, 1) },
+	"callers":   func(s *scene) ([]string, error) { return playPoison(s, 8, -1, 0, 10) },
+	"caller":    func(s *scene) ([]string, error) { return playPoison(s, 8, -1, 0, 1) },
 	"cold":      playCold,
 	"leaving":   playLeaving,
 	"headLimit": playHeadLimit,
 	// The deadly part is followed by nine others that sound requests share, or by five.
-	"longPrompt":  func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 9) },
-	"shortPrompt": func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 5) },
+	"longPrompt":  func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 9, 1) },
+	"shortPrompt": func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 5, 1) },
 }
 
 func main() {
--- a/review/tool-3/poison.go
+++ b/review/tool-3/poison.go
@@ -16,7 +16,7 @@
 // is back after some seconds as a new incarnation.
 type streamer struct {
 	scene *scene
-	// eventsBeforeCrash is the number of events that it has written when it crashes.
+	// eventsBeforeCrash is the number of events that it has written when it crashes; -1 if it has not written the head.
 	eventsBeforeCrash int
 
 	mu      sync.Mutex
@@ -62,16 +62,27 @@
 	}
 	from := 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
+	if t.eventsBeforeCrash < 0 {
+		// The head leaves with the first event.
+		time.Sleep(eventInterval)
+		if isDeadly {
+			t.crash(n, id)
+		}
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Runner-Stamp", n.id+"."+id)
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w).Flush
-	_ = flush()
+	if t.eventsBeforeCrash >= 0 {
+		_ = flush()
+	}
 	for event := from + 1; event <= streamEvents; event++ {
-		select {
-		case <-time.After(eventInterval):
-		case <-r.Context().Done():
-			return true
+		if event > from+1 || t.eventsBeforeCrash >= 0 {
+			select {
+			case <-time.After(eventInterval):
+			case <-r.Context().Done():
+				return true
+			}
 		}
 		if isDeadly && event == from+t.eventsBeforeCrash+1 {
 			t.crash(n, id)
@@ -99,6 +110,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// callerKey is the key of one of several callers.
+func callerKey(i int) string {
+	if i == 0 {
+		return key
+	}
+	return fmt.Sprintf("anfqasnmgkcuyj8p%04d", i)
+}
+
 // streamConfiguration is a configuration with one service of streams.
 func streamConfiguration(keys map[string][]string) map[string]any {
 	var tenants []any
@@ -125,7 +144,7 @@
 
 // playPoison sends requests with a part that crashes each runner which begins to write an answer, and checks that they stop
 // reaching runners. Each prompt has some further parts behind that one, which sound requests share.
-func playPoison(s *scene, runners, eventsBeforeCrash, furtherParts int) ([]string, error) {
+func playPoison(s *scene, runners, eventsBeforeCrash, furtherParts, callers int) ([]string, error) {
 	const stableWindow = 3 * time.Second
 	if err := s.startStore(); err != nil {
 		return nil, err
@@ -141,22 +160,30 @@
 			return nil, err
 		}
 	}
-	s.store.put("op", "config", streamConfiguration(map[string][]string{"hule930": {key}}))
+	keys := map[string][]string{"hule930": {key}}
+	for i := range callers - 1 {
+		keys[fmt.Sprintf("hule%03d", i)] = []string{callerKey(i + 1)}
+	}
+	s.store.put("op", "config", streamConfiguration(keys))
 	if err := s.startGateways("pl-central-a", "pl-central-b"); err != nil {
 		return nil, err
 	}
 	var clients []*client
-	for _, g := range s.gateways {
-		clients = append(clients, newClient(g, s.record, host, key))
+	for i := range callers {
+		for _, g := range s.gateways {
+			clients = append(clients, newClient(g, s.record, host, callerKey(i)))
+		}
 	}
 	var wg sync.WaitGroup
 	serial := 0
+	// next is the client of the next request: sound and deadly ones come from all callers at all gateways in turn.
+	next, deadly := 0, 0
 	send := func(name string, parts ...string) {
 		serial++
 		for i := range furtherParts {
 			parts = append(parts, fmt.Sprintf("0a7e%04x:60", i))
 		}
-		c := clients[serial%len(clients)]
+		c := clients[next%len(clients)]
 		id := fmt.Sprintf("%s-%04d", name, serial)
 		parts = append(parts, fmt.Sprintf("%08x:250", serial))
 		wg.Go(func() {
@@ -168,7 +195,10 @@
 	for at := 1.0; at < 32; at += 0.05 {
 		s.sleepUntil(at)
 		send("sound", "5c1e07a2:40", "91bd3f06:400")
+		next = serial
 		if tick := int(at*20 + 0.5); s.trouble && at >= 4 && tick%20 == 0 {
+			deadly++
+			next = deadly
 			send("deadly", "5c1e07a2:40", deadlyPart+":400")
 		}
 	}
