--- a/review/tool-3/client.go
+++ b/review/tool-3/client.go
@@ -91,9 +91,6 @@
 	if stamp := c.header.Get("Runner-Stamp"); stamp != "" {
 		text += ", signed " + stamp
 	}
-	if c.header.Get("Server-Leaving") != "" {
-		text += ", Server-Leaving"
-	}
 	return text
 }
 
--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -44,7 +44,6 @@
 	"callers":   func(s *scene) ([]string, error) { return playPoison(s, 8, -1, 0, 10) },
 	"caller":    func(s *scene) ([]string, error) { return playPoison(s, 8, -1, 0, 1) },
 	"cold":      playCold,
-	"leaving":   playLeaving,
 	"headLimit": playHeadLimit,
 	// The deadly part is followed by nine others that sound requests share, or by five.
 	"longPrompt":  func(s *scene) ([]string, error) { return playPoison(s, 4, 0, 9, 1) },
--- a/review/tool-3/runner.go
+++ b/review/tool-3/runner.go
@@ -31,7 +31,6 @@
 	work    time.Duration
 	record  *record
 	server  *http.Server
-	leaving atomic.Bool
 	running atomic.Int32
 
 	mu       sync.Mutex
@@ -87,9 +86,6 @@
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Runner-Id", n.id)
-	if n.leaving.Load() {
-		h.Set("Server-Leaving", "1")
-	}
 	if expected := r.Header.Get("Expect-Runner"); expected != "" && expected != n.id {
 		n.note(arrival{id: id, runner: n.id, at: time.Now()})
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/tool-3/store.go
+++ b/review/tool-3/store.go
@@ -27,7 +27,6 @@
 	rows    map[string]row
 	version uint64
 	era     uint64
-	isDown  bool
 	changed chan struct{}
 	started time.Time
 }
@@ -36,38 +35,6 @@
 	return &store{rows: map[string]row{}, era: 1, changed: make(chan struct{}), started: time.Now()}
 }
 
-// snapshot is the content of the store at a moment.
-type snapshot struct {
-	rows    map[string]row
-	version uint64
-}
-
-func (s *store) snapshot() snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rows := make(map[string]row, len(s.rows))
-	for k, r := range s.rows {
-		rows[k] = r
-	}
-	return snapshot{rows: rows, version: s.version}
-}
-
-// restore replaces the content by a copy: versions go back, and the era rises.
-func (s *store) restore(c snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rows, s.version = c.rows, c.version
-	s.era++
-	s.notify()
-}
-
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isDown = down
-	s.notify()
-}
-
 // notify wakes the feeds. The caller holds mu.
 func (s *store) notify() {
 	close(s.changed)
@@ -113,11 +80,6 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isDown {
-		s.head(w)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	switch r.URL.Path {
 	case "/currantledge/rows-get":
 		s.get(w, r)
@@ -161,11 +123,6 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for ended := false; ; {
-		if s.isDown {
-			s.head(w)
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		if after > s.version {
 			s.respond(w, http.StatusGone, nil)
 			return
