End the gateways of a review script that is stopped

Cause: a script that was ended by a signal left its gateways behind. Change: the program of the cases ends them on SIGINT, SIGTERM, SIGHUP, SIGPIPE.

--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -9,7 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +37,8 @@
 	storeAddress string
 	gateways     []*gateway
 	cleanups     []func()
+	// mu is held while a gateway is started or ended.
+	mu sync.Mutex
 }
 
 // cases are the cases by name. Each returns the violations that it has seen.
@@ -84,6 +89,7 @@
 	defer cancel()
 	s := &scene{ctx: ctx, folder: temporary, trouble: os.Getenv("TROUBLE") != "0", record: r, store: newStore()}
 	defer s.close()
+	s.endOnSignals()
 	broken, err := play(s)
 	switch {
 	case err != nil:
@@ -105,7 +111,23 @@
 	return exitHeld
 }
 
+// endOnSignals ends the gateways and the program if it is told to stop before the case has ended.
+func (s *scene) endOnSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
+	go func() {
+		<-signals
+		s.mu.Lock()
+		for _, g := range s.gateways {
+			g.end()
+		}
+		os.Exit(exitFailed)
+	}()
+}
+
 func (s *scene) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, g := range s.gateways {
 		g.end()
 	}
@@ -142,8 +164,11 @@
 		if err != nil {
 			return err
 		}
+		s.mu.Lock()
 		s.gateways = append(s.gateways, g)
-		if err := g.start(); err != nil {
+		err = g.start()
+		s.mu.Unlock()
+		if err != nil {
 			return err
 		}
 	}
