--- a/internal/connection/gossiper/codec.go
+++ b/internal/connection/gossiper/codec.go
@@ -32,10 +32,8 @@
 	StoreLost      bool                  `cbor:"storeLost,omitempty"`
 	StoreAgeMs     uint64                `cbor:"storeAgeMs,omitempty"`
 	Resigned       uint64                `cbor:"resigned,omitempty"`
-	Crashes        []wireSuspicion       `cbor:"crashes,omitempty"`
-	AnsweredAgesMs map[string]int64      `cbor:"answeredAgesMs,omitempty"`
-	CrashedRuns    []wireCrashedRun      `cbor:"crashedRuns,omitempty"`
-	ContentAgesMs  map[uint64]int64      `cbor:"contentAgesMs,omitempty"`
+	CrashEvidence  []wireCrashedRun      `cbor:"crashEvidence,omitempty"`
+	SoundAgesMs    map[uint64]int64      `cbor:"soundAgesMs,omitempty"`
 	Limits         map[string]wireLimit  `cbor:"limits,omitempty"`
 	Notices        map[string]wireNotice `cbor:"notices,omitempty"`
 	Demand         map[string]float64    `cbor:"demand,omitempty"`
@@ -49,28 +47,20 @@
 	Relays    []wireContact            `cbor:"relays,omitempty"`
 }
 
-// wireSuspicion is the CBOR form of a Suspicion. Its time is sent as its age.
-type wireSuspicion struct {
-	Node        string   `cbor:"node"`
-	Incarnation uint64   `cbor:"incarnation"`
-	Sequence    uint64   `cbor:"sequence"`
-	AgeMs       int64    `cbor:"ageMs"`
-	Customer    string   `cbor:"customer"`
-	Parts       []string `cbor:"parts"`
-	Request     string   `cbor:"request"`
-	Site        uint64   `cbor:"site,omitempty"`
-	// Responding is always set. Older gateways ignore suspicions without it.
-	Responding bool `cbor:"responding,omitempty"`
-}
-
-// wireCrashedRun is the CBOR form of a CrashedRun, an array of less than 40 bytes. The time of the crash is sent as its age.
+// wireCrashedRun is the CBOR form of a CrashedRun, an array of about 50 bytes. The time of the crash is sent as its age.
+// Gateways of earlier builds send and read other fields, so that each build learns only from its own.
 type wireCrashedRun struct {
-	_       struct{} `cbor:",toarray"`
-	Content uint64
-	Site    uint64
-	Grouped bool
-	RanMs   int64
-	AgeMs   int64
+	_          struct{} `cbor:",toarray"`
+	Content    uint64
+	Whole      bool
+	Customer   uint64
+	Site       uint64
+	Grouped    bool
+	Responding bool
+	Events     int
+	Refuted    bool
+	RanMs      int64
+	AgeMs      int64
 }
 
 // wireLimit is the CBOR form of an UpstreamLimit. Its time is sent as its age.
@@ -187,57 +177,31 @@
 }
 
 func encodeCrashes(now time.Time, w *wireState, r federator.CrashReport) {
-	for _, s := range r.Suspicions {
-		w.Crashes = append(w.Crashes, wireSuspicion{
-			Node: string(s.Node), Incarnation: uint64(s.Incarnation), Sequence: s.Sequence,
-			AgeMs: now.Sub(s.At).Milliseconds(), Customer: string(s.Customer), Parts: convertAll[string](s.Parts),
-			Request: string(s.Request), Site: uint64(s.Site), Responding: true,
-		})
-	}
 	for _, c := range r.Runs {
-		w.CrashedRuns = append(w.CrashedRuns, wireCrashedRun{
-			Content: uint64(c.Content), Site: uint64(c.Site), Grouped: c.Grouped,
+		w.CrashEvidence = append(w.CrashEvidence, wireCrashedRun{
+			Content: uint64(c.Content), Whole: c.Whole, Customer: uint64(c.Customer), Site: uint64(c.Site), Grouped: c.Grouped,
+			Responding: c.Responding, Events: c.Events, Refuted: c.Refuted,
 			RanMs: c.At.Sub(c.SentAt).Milliseconds(), AgeMs: now.Sub(c.At).Milliseconds(),
 		})
 	}
-	w.AnsweredAgesMs = make(map[string]int64, len(r.Answered))
-	for part, at := range r.Answered {
-		w.AnsweredAgesMs[string(part)] = now.Sub(at).Milliseconds()
-	}
-	w.ContentAgesMs = make(map[uint64]int64, len(r.AnsweredContents))
-	for content, at := range r.AnsweredContents {
-		w.ContentAgesMs[uint64(content)] = now.Sub(at).Milliseconds()
+	w.SoundAgesMs = make(map[uint64]int64, len(r.Answered))
+	for content, at := range r.Answered {
+		w.SoundAgesMs[uint64(content)] = now.Sub(at).Milliseconds()
 	}
 }
 
 func decodeCrashes(now time.Time, w wireState) federator.CrashReport {
-	r := federator.CrashReport{
-		Answered:         make(map[identifier.PromptPart]time.Time, len(w.AnsweredAgesMs)),
-		AnsweredContents: make(map[identifier.ContentHash]time.Time, len(w.ContentAgesMs)),
-	}
-	for _, s := range w.Crashes {
-		if !s.Responding {
-			continue
-		}
-		r.Suspicions = append(r.Suspicions, federator.Suspicion{
-			Node: identifier.Node(s.Node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
-			At: before(now, s.AgeMs), Customer: identifier.Customer(s.Customer),
-			Parts: convertAll[identifier.PromptPart](s.Parts), Request: identifier.PromptPart(s.Request),
-			Site: identifier.CrashSite(s.Site),
-		})
-	}
-	for _, c := range w.CrashedRuns {
+	r := federator.CrashReport{Answered: make(map[identifier.ContentHash]time.Time, len(w.SoundAgesMs))}
+	for _, c := range w.CrashEvidence {
 		at := before(now, c.AgeMs)
 		r.Runs = append(r.Runs, federator.CrashedRun{
-			Content: identifier.ContentHash(c.Content), Site: identifier.CrashSite(c.Site), Grouped: c.Grouped,
+			Content: identifier.ContentHash(c.Content), Whole: c.Whole, Customer: identifier.CustomerHash(c.Customer),
+			Site: identifier.CrashSite(c.Site), Grouped: c.Grouped, Responding: c.Responding, Events: max(c.Events, 0), Refuted: c.Refuted,
 			SentAt: before(at, c.RanMs), At: at,
 		})
 	}
-	for content, age := range w.ContentAgesMs {
-		r.AnsweredContents[identifier.ContentHash(content)] = before(now, age)
-	}
-	for part, age := range w.AnsweredAgesMs {
-		r.Answered[identifier.PromptPart(part)] = before(now, age)
+	for content, age := range w.SoundAgesMs {
+		r.Answered[identifier.ContentHash(content)] = before(now, age)
 	}
 	return r
 }
@@ -476,12 +440,3 @@
 	}
 	return out
 }
-
-// convertAll returns the texts converted to another string type.
-func convertAll[To, From ~string](in []From) []To {
-	out := make([]To, len(in))
-	for i, v := range in {
-		out[i] = To(v)
-	}
-	return out
-}
--- a/internal/process/gatewayrunner/crashrows.go
+++ b/internal/process/gatewayrunner/crashrows.go
@@ -11,6 +11,7 @@
 	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/waiter"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/version/replicator"
 )
 
@@ -24,55 +25,70 @@
 	maxUninformed = 400 * time.Millisecond
 )
 
+// maxStoredRuns bounds the runs of a row, so that it stays below 64 KiB.
+const maxStoredRuns = 256
+
 // storedCrashes is the row of a gateway.
 type storedCrashes struct {
-	Suspicions []storedCrash `json:"suspicions"`
-	Runs       []storedRun   `json:"runs"`
+	Runs []storedRun `json:"runs"`
+	// Suspicions are the requests that gateways of earlier builds suspected of a crash; later ones store runs only.
+	Suspicions []storedSuspicion `json:"suspicions,omitempty"`
 }
 
 // storedRun is the stored form of a CrashedRun.
 type storedRun struct {
-	Content uint64 `json:"content,string"`
-	Site    uint64 `json:"site,string"`
-	Grouped bool   `json:"grouped"`
-	RanMs   int64  `json:"ranMs"`
-	UnixMs  int64  `json:"unixMs"`
+	Content    uint64 `json:"content,string"`
+	Whole      bool   `json:"whole,omitempty"`
+	Customer   uint64 `json:"customer,string,omitempty"`
+	Site       uint64 `json:"site,string"`
+	Grouped    bool   `json:"grouped"`
+	Responding bool   `json:"responding,omitempty"`
+	Events     int    `json:"events,omitempty"`
+	RanMs      int64  `json:"ranMs"`
+	UnixMs     int64  `json:"unixMs"`
 }
 
-// storedCrash is the stored form of a Suspicion.
-type storedCrash struct {
-	Incarnation uint64   `json:"incarnation"`
-	Sequence    uint64   `json:"sequence"`
-	UnixMs      int64    `json:"unixMs"`
-	Customer    string   `json:"customer"`
-	Parts       []string `json:"parts"`
-	Request     string   `json:"request"`
-	Site        uint64   `json:"site,string,omitempty"`
+// storedSuspicion is a request that an upstream was about to answer when it crashed.
+type storedSuspicion struct {
+	UnixMs   int64    `json:"unixMs"`
+	Customer string   `json:"customer"`
+	Parts    []string `json:"parts"`
+	Request  string   `json:"request"`
+	Site     uint64   `json:"site,string,omitempty"`
 }
 
-// encodeCrashRow encodes the suspicions of one gateway and, of the crashed runs that it knows, those of requests that have
-// crashed upstreams more than once.
-func encodeCrashRow(node identifier.Node, report federator.CrashReport) ([]byte, error) {
-	stored := storedCrashes{Suspicions: []storedCrash{}, Runs: []storedRun{}}
-	for _, s := range report.Suspicions {
-		if s.Node == node {
-			stored.Suspicions = append(stored.Suspicions, storedCrash{
-				Incarnation: uint64(s.Incarnation), Sequence: s.Sequence, UnixMs: s.At.UnixMilli(),
-				Customer: string(s.Customer), Parts: identifier.PartNames(s.Parts), Request: string(s.Request),
-				Site: uint64(s.Site),
-			})
-		}
+// runs returns the runs of the request as a whole and of its parts.
+func (s storedSuspicion) runs() []storedRun {
+	run := storedRun{
+		Content: uint64(screener.HashRequest(identifier.PromptPart(s.Request))), Whole: true,
+		Customer: uint64(screener.HashCustomer(identifier.Customer(s.Customer))), Site: s.Site, Grouped: true, Responding: true, UnixMs: s.UnixMs,
+	}
+	runs := []storedRun{run}
+	run.Whole = false
+	for _, part := range s.Parts {
+		run.Content = uint64(screener.HashPart(identifier.PromptPart(part)))
+		runs = append(runs, run)
 	}
+	return runs
+}
+
+// encodeCrashRow encodes the runs that gateways which start later have to know of: those of contents that have crashed
+// upstreams more than once, and those of upstreams that were about to begin their response.
+func encodeCrashRow(report federator.CrashReport) ([]byte, error) {
+	stored := storedCrashes{Runs: []storedRun{}}
 	crashes := map[identifier.ContentHash]int{}
 	for _, run := range report.Runs {
-		crashes[run.Content]++
+		if !run.Refuted {
+			crashes[run.Content]++
+		}
 	}
 	for _, run := range report.Runs {
-		if crashes[run.Content] < 2 {
+		if run.Refuted || crashes[run.Content] < 2 && !run.IsBeginning() || len(stored.Runs) == maxStoredRuns {
 			continue
 		}
 		stored.Runs = append(stored.Runs, storedRun{
-			Content: uint64(run.Content), Site: uint64(run.Site), Grouped: run.Grouped,
+			Content: uint64(run.Content), Whole: run.Whole, Customer: uint64(run.Customer), Site: uint64(run.Site),
+			Grouped: run.Grouped, Responding: run.Responding, Events: run.Events,
 			RanMs: run.At.Sub(run.SentAt).Milliseconds(), UnixMs: run.At.UnixMilli(),
 		})
 	}
@@ -86,31 +102,23 @@
 	var report federator.CrashReport
 	err := json.Unmarshal(raw, &stored)
 	if err != nil {
-		// Older gateways write an array of suspicions.
+		// The oldest rows are an array of suspicions.
 		err = json.Unmarshal(raw, &stored.Suspicions)
 	}
 	if err != nil {
 		return report, errors.Wrapf(err, "crash row of %s; it is written again at its next crash", node)
 	}
-	timeOf := func(unixMs int64) time.Time { return now.Add(-max(0, now.Sub(time.UnixMilli(unixMs)))) }
+	for _, s := range stored.Suspicions {
+		stored.Runs = append(stored.Runs, s.runs()...)
+	}
 	for _, run := range stored.Runs {
-		at := timeOf(run.UnixMs)
+		at := now.Add(-max(0, now.Sub(time.UnixMilli(run.UnixMs))))
 		report.Runs = append(report.Runs, federator.CrashedRun{
-			Content: identifier.ContentHash(run.Content), Site: identifier.CrashSite(run.Site), Grouped: run.Grouped,
+			Content: identifier.ContentHash(run.Content), Whole: run.Whole, Customer: identifier.CustomerHash(run.Customer),
+			Site: identifier.CrashSite(run.Site), Grouped: run.Grouped, Responding: run.Responding, Events: max(0, run.Events),
 			SentAt: at.Add(-time.Duration(max(0, run.RanMs)) * time.Millisecond), At: at,
 		})
 	}
-	for _, s := range stored.Suspicions {
-		parts := make([]identifier.PromptPart, len(s.Parts))
-		for i, p := range s.Parts {
-			parts[i] = identifier.PromptPart(p)
-		}
-		report.Suspicions = append(report.Suspicions, federator.Suspicion{
-			Node: identifier.Node(node), Incarnation: identifier.Incarnation(s.Incarnation), Sequence: s.Sequence,
-			At: timeOf(s.UnixMs), Site: identifier.CrashSite(s.Site), Customer: identifier.Customer(s.Customer),
-			Parts: parts, Request: identifier.PromptPart(s.Request),
-		})
-	}
 	return report, nil
 }
 
@@ -180,7 +188,7 @@
 }
 
 func (g *gateway) writeCrashRow(ctx context.Context) error {
-	raw, err := encodeCrashRow(g.settings.Node, g.screener.Report(time.Now()))
+	raw, err := encodeCrashRow(g.screener.Report(time.Now()))
 	if err != nil {
 		return err
 	}
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -59,6 +59,8 @@
 	firstNodeRead = time.Second
 	// maxDecisions is small because the decisions of a gateway are looked up in its log only.
 	maxDecisions = 16
+	// maxLoggedDigests bounds the digests in a log line on crashes that a peer has reported.
+	maxLoggedDigests = 8
 	// idleTimeout is longer than the idle timeout of any configuration, so that the gateway never closes a connection that
 	// a client is about to reuse.
 	idleTimeout = 30 * time.Second
@@ -234,7 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.screener = screener.New(screener.Config{Node: settings.Node, Incarnation: g.gossiper.Incarnation()})
+	g.screener = screener.New(screener.Config{Node: settings.Node})
 	g.urgentNews = newCoalescer(g.gossiper.Broadcast)
 	g.groups = newGroupStates(g.admitter)
 	g.operatorFollower = g.newFollower(platform.OperatorTable, false)
@@ -319,7 +321,7 @@
 	s.Notices = g.admitter.Notices(now)
 	s.Crashes = g.screener.News(now)
 	if g.news.due(now) || complete {
-		s.Crashes = g.screener.Report(now)
+		s.Crashes.Add(g.screener.Report(now))
 		s.Limits = limits
 	}
 }
@@ -353,25 +355,60 @@
 func (g *gateway) mergeCrashes(e federator.CrashesReported) {
 	now := time.Now()
 	news := g.screener.Merge(now, e.Report)
-	urgent := false
-	for _, s := range news.Suspicions {
-		urgent = urgent || now.Sub(s.At) < maxUrgentAge
-		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Str("observer", string(s.Node)).
-			Bool("responding", true).Strs("parts", identifier.PartNames(s.Parts)).Dur("ageMs", now.Sub(s.At)).Send()
-	}
+	urgent, strong := false, false
 	for _, run := range news.Runs {
 		urgent = urgent || now.Sub(run.At) < maxUrgentAge
-		g.log.Event(logger.EventCrashReported).Str("peer", string(e.Peer)).Bool("responding", false).
-			Str("digest", run.Content.String()).Dur("ageMs", now.Sub(run.At)).Send()
+		strong = strong || run.IsBeginning()
 	}
-	if len(news.Suspicions) > 0 {
+	if strong {
 		g.news.add(now)
 	}
+	if len(news.Runs) > 0 {
+		g.logReportedCrashes(now, e.Peer, news.Runs)
+	}
 	if urgent && g.gossiper.IsRelay() {
 		g.urgentNews.trigger()
 	}
 }
 
+// logReportedCrashes logs the crashed runs that a peer has reported, in one line.
+func (g *gateway) logReportedCrashes(now time.Time, peer identifier.Node, runs []federator.CrashedRun) {
+	beginning, newest := 0, runs[0].At
+	var digests []string
+	for _, run := range runs {
+		if run.IsBeginning() {
+			beginning++
+		}
+		if run.At.After(newest) {
+			newest = run.At
+		}
+		if len(digests) < maxLoggedDigests {
+			digests = append(digests, run.Content.String())
+		}
+	}
+	g.log.Event(logger.EventCrashReported).Str("peer", string(peer)).Int("runs", len(runs)).Int("beginning", beginning).
+		Strs("digests", digests).Dur("ageMs", now.Sub(newest)).Send()
+}
+
+// logSuspects logs which requests and parts of prompts have become suspected or cleared of crashes.
+func (g *gateway) logSuspects(now time.Time) {
+	changes, omitted := g.screener.TakeChanges()
+	for _, c := range changes {
+		line := g.log.Event(logger.EventSuspectChanged).Str("digest", c.Content.String()).Bool("whole", c.Whole).
+			Str("state", string(c.State)).Int("crashes", c.Crashes).Int("strength", c.Strength).Int("explanations", c.Explanations)
+		if c.Part != "" {
+			line = line.Str("part", string(c.Part))
+		}
+		if !c.AnsweredAt.IsZero() {
+			line = line.Dur("answeredAgoMs", now.Sub(c.AnsweredAt))
+		}
+		line.Send()
+	}
+	if omitted > 0 {
+		g.log.Event(logger.EventSuspectChanged).Int("omitted", omitted).Send()
+	}
+}
+
 // announceCrash sends a crash that this gateway has observed to the peers, and to the store if gateways that start later
 // have to know of it.
 func (g *gateway) announceCrash(lasting bool) {
@@ -601,6 +638,7 @@
 			// This also evaluates the waiting requests.
 			g.countPeers(now)
 			g.logBacklogs(now)
+			g.logSuspects(now)
 			g.replicator.ApplyDeferred(now)
 			g.pull(ctx, now)
 		}
--- a/internal/process/identifier/identifier.go
+++ b/internal/process/identifier/identifier.go
@@ -36,8 +36,10 @@
 )
 
 type (
-	// ContentHash is the hash of a request as a whole, or of one part of its prompt, together with its customer.
+	// ContentHash is the hash of a request as a whole, which includes its customer, or of one part of its prompt.
 	ContentHash uint64
+	// CustomerHash is the hash of a customer's name; 0 stands for several customers.
+	CustomerHash uint64
 	// CrashSite is the hash of an upstream or, for the ranks of a group, which crash together, of the group.
 	CrashSite uint64
 )
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -85,6 +85,7 @@
 	EventListenerNotDrained   Event = 741
 	EventGroupStands          Event = 742
 	EventAnswerRejected       Event = 743
+	EventSuspectChanged       Event = 744
 )
 
 // definition is the level and the message of all log lines of an event.
@@ -163,6 +164,7 @@
 	EventListenerNotDrained:   {zerolog.WarnLevel, "established connections were not accepted"},
 	EventGroupStands:          {zerolog.WarnLevel, "group makes no passes"},
 	EventAnswerRejected:       {zerolog.WarnLevel, "answer of a rank rejected"},
+	EventSuspectChanged:       {zerolog.InfoLevel, "suspicion of a request or part changed"},
 	EventGroupUnreadable:      {zerolog.WarnLevel, "model group cannot be led yet"},
 	EventSettingsReloaded:     {zerolog.InfoLevel, "settings reload finished"},
 	EventSeedInvalid:          {zerolog.WarnLevel, "invalid seed in the settings ignored"},
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -14,7 +14,6 @@
 
 	"currantledge.example/currantledge/internal/connection/headchecker"
 	"currantledge.example/currantledge/internal/connection/requester"
-	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/process/logger"
 	"currantledge.example/currantledge/internal/process/meter"
 	"currantledge.example/currantledge/internal/request/admitter"
@@ -105,11 +104,11 @@
 	s.stall = newStallTimer(stallTimeout(c.route), cancel)
 	defer s.stall.stop()
 	s.screened.Store(false)
-	s.endWatch = f.cfg.Screener.Watch(c.prompt, func() {
+	s.run = f.cfg.Screener.Begin(c.prompt, func() {
 		s.screened.Store(true)
 		cancel()
 	})
-	defer s.endWatch()
+	defer s.run.End()
 	s.overdue.Store(false)
 	if timeout := f.responseTimeout(c); timeout > 0 {
 		timer := time.AfterFunc(timeout, func() {
@@ -123,7 +122,7 @@
 		s.stopResponseTimer = func() { timer.Stop() }
 	}
 	sent := time.Now()
-	s.firstByte, s.longestGap, s.head, s.limit, s.pause = 0, 0, 0, "", ""
+	s.firstByte, s.longestGap, s.head, s.attemptEvents, s.limit, s.pause = 0, 0, 0, 0, "", ""
 	got, err := f.cfg.Requester.Do(ctx, requester.Request{
 		Address: u.Address,
 		Method:  r.Method,
@@ -434,7 +433,7 @@
 		line = line.Str("retryAfterS", s.pause)
 	}
 	if !r.complete && s.firstByte == 0 {
-		line = line.Strs("parts", identifier.PartNames(c.prompt.Parts))
+		line = line.Int("partCount", len(c.prompt.Parts)).Strs("parts", loggedParts(c))
 		if s.head > 0 {
 			line = line.Dur("headMs", s.head)
 		}
--- a/internal/request/forwarder/explain_test.go
+++ b/internal/request/forwarder/explain_test.go
@@ -8,8 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"currantledge.example/currantledge/internal/connection/federator"
-	"currantledge.example/currantledge/internal/process/identifier"
 	"currantledge.example/currantledge/internal/request/admitter"
 	"currantledge.example/currantledge/internal/request/forwarder"
 	"currantledge.example/currantledge/internal/version/cataloguer"
@@ -39,8 +37,7 @@
 	}, e.Request, "with half of the timeout left, it is a client's retry")
 	require.IsType(t, admitter.Granted{}, e.Outcome.(forwarder.Admission).Decision)
 
-	suspicion := federator.Suspicion{Node: "other", Sequence: 1, At: time.Now(), Customer: "customer", Parts: []identifier.PromptPart{"deadly", "perhaps"}}
-	f.screener.Merge(time.Now(), federator.CrashReport{Suspicions: []federator.Suspicion{suspicion}})
+	f.screener.Merge(time.Now(), reportedCrash(1, "deadly", "perhaps"))
 	for range 3 {
 		e = f.explain(t, "/stream/x", "perhaps")
 		require.NotEmpty(t, e.Request.IsolateBy)
@@ -49,8 +46,7 @@
 	status, _, _, err := f.send(t, "/stream/", func(q *http.Request) { q.Header.Set("Parts", "perhaps") })
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
-	suspicion.Sequence, suspicion.Parts = 2, []identifier.PromptPart{"fatal"}
-	f.screener.Merge(time.Now(), federator.CrashReport{Suspicions: []federator.Suspicion{suspicion}})
+	f.screener.Merge(time.Now(), reportedCrash(2, "fatal"))
 	refused := f.explain(t, "/stream/x", "fatal").Outcome.(forwarder.Refused)
 	require.Equal(t, forwarder.ReasonCrashes, refused.Reason)
 	require.Greater(t, refused.RetryAfter, 30*time.Second)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -133,6 +133,8 @@
 // Forwarder is the HTTP handler for clients.
 type Forwarder struct {
 	cfg Config
+	// crashes checks whether upstreams have ended.
+	crashes *crashChecker
 	// droppedHeaders are the header fields of clients that are not forwarded.
 	droppedHeaders map[string]bool
 	waitTimes      *meter.Histogram
@@ -169,6 +171,7 @@
 	}
 	f := &Forwarder{
 		cfg:            cfg,
+		crashes:        newCrashChecker(cfg.Requester),
 		droppedHeaders: map[string]bool{},
 		waitTimes:      cfg.Meter.NewHistogram(meter.GatewayWaitMs),
 		firstByteTimes: cfg.Meter.NewHistogram(meter.GatewayFirstByteMs),
@@ -551,8 +554,8 @@
 	switch {
 	case result.complete:
 		f.cfg.Screener.RecordAnswer(time.Now(), c.prompt)
-	case result.broke && s.firstByte == 0:
-		f.recordCrash(ctx, c, s, g, sent)
+	case result.broke:
+		f.recordCrash(c, s, g, sent)
 	}
 	f.logAttempt(c, s, g, result, sent)
 	c.tried[g.Upstream.ID] = true
--- a/internal/request/forwarder/load_test.go
+++ b/internal/request/forwarder/load_test.go
@@ -108,7 +108,7 @@
 		a.SetFleet(time.Now(), fleet)
 		b := budgeter.New(budgeter.Config{Ratio: 0.2, Extra: 92, Window: 10 * time.Second}, gatewayCount)
 		s.admitters = append(s.admitters, a)
-		s.screeners = append(s.screeners, screener.New(screener.Config{Node: identifier.Node(fmt.Sprint("gateway", i)), Incarnation: 1}))
+		s.screeners = append(s.screeners, screener.New(screener.Config{Node: identifier.Node(fmt.Sprint("gateway", i))}))
 		s.handlers = append(s.handlers, forwarder.New(forwarder.Config{
 			Names: names,
 			SharedParts: func(h http.Header) []identifier.PromptPart {
--- a/internal/request/forwarder/screen.go
+++ b/internal/request/forwarder/screen.go
@@ -22,8 +22,8 @@
 	// the longest wait for that: an upstream begins its response in a few hundred milliseconds.
 	trialCheckInterval = 20 * time.Millisecond
 	maxTrialWait       = 500 * time.Millisecond
-	// crashCheckTimeout bounds the check whether an upstream still listens.
-	crashCheckTimeout = 100 * time.Millisecond
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
 )
 
 const (
@@ -93,6 +93,19 @@
 	return admitter.Refused{Reason: ReasonCrashes, RetryAfter: r.Until.Sub(now)}
 }
 
+// recordEvents tells the screener how far the latest attempt has come. The trial of an isolated request ends once the stream
+// has shown that its prompt is sound.
+func (f *Forwarder) recordEvents(c *call, s *stream) {
+	now := time.Now()
+	s.run.RecordEvents(now, s.attemptEvents)
+	if c.trial == "" {
+		return
+	}
+	if _, is := f.cfg.Screener.Verdict(now, c.prompt).(screener.Clear); is {
+		f.endTrial(c)
+	}
+}
+
 // endTrial ends the trial of an isolated request.
 func (f *Forwarder) endTrial(c *call) {
 	if c.trial != "" {
@@ -101,29 +114,31 @@
 	}
 }
 
-// recordCrash records an attempt whose connection broke before the response was answered, if the upstream has ended.
-func (f *Forwarder) recordCrash(ctx context.Context, c *call, s *stream, g admitter.Granted, sent time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	if !f.cfg.Requester.Refuses(ctx, g.Upstream.Address) {
+// recordCrash records an attempt whose connection broke before the response was complete, if the upstream has ended.
+func (f *Forwarder) recordCrash(c *call, s *stream, g admitter.Granted, sent time.Time) {
+	if !f.crashes.hasEnded(g.Upstream.Address) {
 		return
 	}
-	responding := c.route.Stream && s.head > 0
-	crash := screener.Crash{Prompt: c.prompt, SentAt: sent, Responding: responding}
+	crash := screener.Crash{Prompt: c.prompt, SentAt: sent, Responding: c.route.Stream && s.head > 0, Events: s.attemptEvents}
 	crash.Site, crash.Grouped = crashSite(c, g.Upstream)
 	lasting := f.cfg.Screener.RecordCrash(time.Now(), crash)
 	f.cfg.Meter.Increment(meter.GatewayCrashes)
 	f.cfg.Log.Event(logger.EventUpstreamCrashed).Str("request", c.id).Str("upstream", string(g.Upstream.ID)).
-		Bool("responding", responding).Str("digest", c.prompt.Digest()).
-		Strs("parts", identifier.PartNames(c.prompt.Parts)).Send()
+		Bool("responding", crash.Responding).Int("events", crash.Events).Str("digest", c.prompt.Digest()).
+		Int("partCount", len(c.prompt.Parts)).Strs("parts", loggedParts(c)).Send()
 	f.cfg.OnCrash(lasting)
 }
 
+// loggedParts returns the first parts of a request's prompt.
+func loggedParts(c *call) []string {
+	return identifier.PartNames(c.prompt.Parts[:min(len(c.prompt.Parts), maxLoggedParts)])
+}
+
 // crashSite returns what crashes as a whole: the group of a rank, all upstreams of a model whose groups are not known, or
-// one upstream of a plain service.
+// one upstream that belongs to no group.
 func crashSite(c *call, u cataloguer.Upstream) (site identifier.CrashSite, grouped bool) {
 	name := string(u.ID)
-	if grouped = u.Group != "" || c.route.Stream; grouped {
+	if grouped = u.Group != "" || c.route.Stream && c.engine != nil; grouped {
 		name = identifier.GroupID{Service: u.Service, Group: u.Group}.String()
 	}
 	return identifier.CrashSite(xxhash.Sum64String(name)), grouped
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -14,6 +14,7 @@
 
 	"currantledge.example/currantledge/internal/connection/requester"
 	"currantledge.example/currantledge/internal/request/admitter"
+	"currantledge.example/currantledge/internal/request/screener"
 	"currantledge.example/currantledge/internal/request/workmeter"
 )
 
@@ -40,8 +41,8 @@
 	overdue atomic.Bool
 	// stall cancels the latest attempt if no event arrives in time.
 	stall *stallTimer
-	// endWatch ends the watch of the latest attempt by the screener, which sets screened if it cancels the attempt.
-	endWatch func()
+	// run is the latest attempt as the screener knows it, which sets screened if it cancels the attempt.
+	run      *screener.Run
 	screened atomic.Bool
 	// grant is that of the latest attempt.
 	grant admitter.Granted
@@ -53,8 +54,10 @@
 	pause string
 	// firstByte is the time from sending the latest attempt to the first event of its response, or 0.
 	firstByte time.Duration
-	// events is the number of events with content that the client received.
-	events int
+	// events is the number of events with content that the client received, and attemptEvents the number of those that the
+	// latest attempt sent.
+	events        int
+	attemptEvents int
 	// work is the estimated work of the latest attempt.
 	work workmeter.Work
 	// lastEventAt is when the latest attempt last received an event, and longestGap the longest time between two of its
@@ -114,7 +117,10 @@
 		}
 		event := data[:end]
 		data = data[end:]
-		progress = progress || hasContent(event)
+		if hasContent(event) {
+			progress = true
+			s.attemptEvents++
+		}
 		duplicate, err := s.trackEvent(event)
 		if err != nil {
 			return data, progress, err
@@ -259,8 +265,7 @@
 	s.lastEventAt = now
 	if s.firstByte == 0 {
 		s.firstByte = now.Sub(sent)
-		s.endWatch()
 		f.cfg.Admitter.RecordFirstByte(now, s.grant)
-		f.cfg.Screener.RecordAnswer(now, c.prompt)
 	}
+	f.recordEvents(c, s)
 }
--- a/internal/request/screener/ledger.go
+++ b/internal/request/screener/ledger.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -15,251 +16,363 @@
 )
 
 const (
-	// maxContents and maxCrashesPerContent bound the crashed runs, so that a report of all of them fits a datagram.
-	maxContents          = 64
+	// maxContents bounds the contents that a gateway knows; one takes about 400 bytes. A crash of a large group adds several
+	// for each of its streams, and what they have in common with the next crash must still be known then.
+	maxContents = 4096
+	// maxCrashesPerContent bounds the crashes of one content.
 	maxCrashesPerContent = 6
-	// maxAnsweredContents bounds the contents whose last answer is remembered; one takes about 100 bytes.
-	maxAnsweredContents = 8192
-	// loneCrashExpiry is how long a content is kept that has crashed once: most of these crashes were caused by no request.
+	// maxReportedContents bounds a report of what is known, and maxNewsContents the news in one datagram, of which a run takes
+	// about 50 bytes.
+	maxReportedContents = 64
+	maxNewsContents     = 192
+	// maxAnswered bounds the parts, and the requests, whose last answer is remembered; one takes about 100 bytes.
+	maxAnswered = 8192
+	// maxParts bounds the parts of one run that a crash suspects; the last ones, which the fewest requests share.
+	maxParts = 8
+	// evidenceExpiry is how long a content is kept after its last crash, and loneCrashExpiry one that has crashed once: most
+	// of these crashes were caused by no request.
+	evidenceExpiry  = 20 * time.Minute
 	loneCrashExpiry = 2 * time.Minute
-	// newsTime is how long what is new is in each report, since single datagrams are lost.
+	// expiryInterval is the time between two searches for expired contents.
+	expiryInterval = time.Second
+	// maxReportDelay is the longest assumed delay of a report. A run that expires within this time is not accepted from others,
+	// or gateways would return it to each other for ever.
+	maxReportDelay = 5 * time.Second
+	// newsTime is how long what is new is in each datagram, since single datagrams are lost.
 	newsTime = time.Second
 	// delayTolerance is added to the time of a crash before it is compared with the start of a run: reports shift both by the
 	// delay of their datagrams.
 	delayTolerance = 20 * time.Millisecond
-	// A content is isolated at isolationStrength. It is refused at ambiguousStrength, or already at refusalStrength if no other
-	// content explains its crashes as well.
-	isolationStrength = 1
-	refusalStrength   = 2
-	ambiguousStrength = 3
-	// spreadDivisor sets the part of a refusal by which its end is delayed at each gateway, so that the clients of all
-	// gateways, which return when it ends, do not send a request that still crashes upstreams at the same time.
-	spreadDivisor = 8
+	// outageSpan is the time within which crashes of one site count as one.
+	outageSpan = 2 * time.Second
+	// A stream refutes a crash once it has sent proofFactor times the events after which that ended a stream, and proofMargin
+	// more: the last events before the crash may not have reached the gateway.
+	proofFactor = 2
+	proofMargin = 4
 )
 
-// ledger holds the runs that ended with their upstreams before these had begun a response: for each request as a whole,
-// and each part of a prompt, the crashes since it was last answered. It answers one load: a request that ends each upstream
-// of a plain service comes again and again, at any gateway, beside sound requests.
+// ledger holds the crashes and the answers of contents.
 //
-// Crashes of different upstreams count separately, those of the ranks of one group within outageSpan once. A content that
-// had been answered before needs one crash more than a new one, and of its runs that overlapped only one counts: a request
-// that many clients send runs on all upstreams of a failure domain when that loses power.
+// Crashes of different upstreams count separately, those of the ranks of one group within outageSpan once. Of the runs of an
+// answered content that overlapped only one counts: a request that many clients send runs on all upstreams of a failure
+// domain when that loses power.
 type ledger struct {
 	node     identifier.Node
 	contents map[identifier.ContentHash]*content
-	// answered holds when each content was last answered for this gateway, the newest maxAnsweredContents of them.
-	answered *simplelru.LRU[identifier.ContentHash, time.Time]
+	// answeredParts and answeredRequests hold when contents were last answered for this gateway, the newest of them.
+	answeredParts    *simplelru.LRU[identifier.ContentHash, time.Time]
+	answeredRequests *simplelru.LRU[identifier.ContentHash, time.Time]
+	// version rises with each new crash of a content.
+	version uint64
+	// suspects are derived from the contents, unless outdated is set.
+	suspects map[identifier.ContentHash]*suspect
+	outdated bool
+	// changes are those of the suspects that nobody has taken, and omitted counts those beyond maxChanges.
+	changes  []Change
+	omitted  int
+	expireAt time.Time
 }
 
-// content is what is known of one content.
-type content struct {
-	hash identifier.ContentHash
-	// crashes is sorted by time.
-	crashes []federator.CrashedRun
-	// answeredAt is when the content was last answered, for any gateway.
-	answeredAt time.Time
-	// changedAt is when this gateway last learned something new of the content.
-	changedAt time.Time
+func newLedger(node identifier.Node) *ledger {
+	return &ledger{
+		node: node, contents: map[identifier.ContentHash]*content{}, suspects: map[identifier.ContentHash]*suspect{},
+		answeredParts: newAnswers(), answeredRequests: newAnswers(),
+	}
 }
 
-func newLedger(node identifier.Node) *ledger {
-	answered, err := simplelru.NewLRU[identifier.ContentHash, time.Time](maxAnsweredContents, nil)
+func newAnswers() *simplelru.LRU[identifier.ContentHash, time.Time] {
+	answers, err := simplelru.NewLRU[identifier.ContentHash, time.Time](maxAnswered, nil)
 	if err != nil {
 		panic(errors.Wrap(err, "the size of the cache is not positive"))
 	}
-	return &ledger{node: node, contents: map[identifier.ContentHash]*content{}, answered: answered}
+	return answers
 }
 
-// add adds a crashed run and reports whether it was new.
-func (l *ledger) add(now time.Time, run federator.CrashedRun) bool {
-	known, found := l.contents[run.Content]
-	if !found {
-		at, _ := l.answered.Get(run.Content)
-		known = &content{hash: run.Content, answeredAt: at}
+// addCrash adds a run that has ended with its upstream. It reports whether gateways that start later have to know of it, and
+// whether one of its contents may be refused now.
+func (l *ledger) addCrash(now time.Time, c Crash) (lasting, refusable bool) {
+	run := federator.CrashedRun{
+		Content: HashRequest(c.Prompt.Request), Whole: true, Customer: HashCustomer(c.Prompt.Customer), Site: c.Site, Grouped: c.Grouped,
+		Responding: c.Responding, Events: c.Events, SentAt: c.SentAt, At: now,
 	}
-	if !known.add(now, run) {
-		return false
+	hashes := []identifier.ContentHash{run.Content}
+	l.add(now, run, "")
+	run.Whole = false
+	for _, part := range l.suspectedParts(c.Prompt.Parts) {
+		run.Content = HashPart(part)
+		hashes = append(hashes, run.Content)
+		l.add(now, run, part)
 	}
-	l.contents[run.Content] = known
-	l.enforceBound()
-	return l.contents[run.Content] != nil
+	for _, hash := range hashes {
+		if known, found := l.contents[hash]; found {
+			lasting = lasting || known.isLasting()
+			refusable = refusable || known.strength() >= refusalStrength
+		}
+	}
+	return lasting, refusable
 }
 
-// recordAnswer records that an upstream has answered a content, and reports whether that ends a suspicion.
-func (l *ledger) recordAnswer(now time.Time, hash identifier.ContentHash) bool {
-	l.answered.Add(hash, now)
-	return l.markAnswered(now, hash, now)
+// suspectedParts returns the parts of a prompt that a crash suspects.
+func (l *ledger) suspectedParts(parts []identifier.PromptPart) []identifier.PromptPart {
+	return parts[max(0, len(parts)-maxParts):]
 }
 
-// markAnswered records when a content was answered if it has crashed upstreams, and reports whether that ends a suspicion.
-func (l *ledger) markAnswered(now time.Time, hash identifier.ContentHash, at time.Time) bool {
-	known, found := l.contents[hash]
-	if !found || !at.After(known.answeredAt) {
-		return false
+// add adds a run of one content and reports whether its crash was new. The part is the one that the content is, if that is
+// known.
+func (l *ledger) add(now time.Time, run federator.CrashedRun, part identifier.PromptPart) bool {
+	known, found := l.contents[run.Content]
+	if !found {
+		known = &content{hash: run.Content, whole: run.Whole}
+		if run.Whole {
+			known.answeredAt, _ = l.answeredRequests.Peek(run.Content)
+		} else {
+			known.answeredAt, _ = l.answeredParts.Peek(run.Content)
+		}
 	}
-	wasSuspected := known.strength() >= isolationStrength
-	known.answeredAt = at
-	if !wasSuspected || known.strength() >= isolationStrength {
+	isNew, changed := known.add(now, run)
+	if !changed {
 		return false
 	}
-	known.changedAt = now
-	return true
-}
-
-// verdict returns whether a request with some contents may run.
-func (l *ledger) verdict(now time.Time, hashes []identifier.ContentHash) Verdict {
-	var out Verdict = Clear{}
-	for _, hash := range hashes {
-		known, found := l.contents[hash]
-		if !found {
-			continue
-		}
-		strength := known.strength()
-		if strength < isolationStrength {
-			continue
-		}
-		if until := l.refusedUntil(known, strength); now.Before(until) && l.refuses(known, strength) {
-			return Refused{Until: until}
-		}
-		out = Isolated{Part: identifier.PromptPart(hash.String())}
+	if part != "" && known.part == "" {
+		// The part is cut out of a longer text.
+		known.part = identifier.PromptPart(strings.Clone(string(part)))
 	}
-	return out
+	l.contents[run.Content] = known
+	l.version++
+	l.outdated = true
+	l.enforceBound()
+	return isNew && l.contents[run.Content] != nil
 }
 
-// refuses reports whether a content is refused at its strength.
-func (l *ledger) refuses(known *content, strength int) bool {
-	if strength >= ambiguousStrength {
-		return true
+// recordAnswer records that a request with some contents, the first of which is the request as a whole, was answered.
+func (l *ledger) recordAnswer(now time.Time, hashes []identifier.ContentHash) {
+	for i, hash := range hashes {
+		l.markAnswered(now, hash, now)
+		if i == 0 {
+			l.answeredRequests.Add(hash, now)
+		} else {
+			l.answeredParts.Add(hash, now)
+		}
 	}
-	return strength >= refusalStrength && slices.ContainsFunc(known.live(), func(run federator.CrashedRun) bool {
-		return !l.explains(run, known, strength)
-	})
 }
 
-// refusedUntil returns when the refusal of a content ends at this gateway.
-func (l *ledger) refusedUntil(known *content, strength int) time.Time {
-	refusal := minRefusal
-	for range strength - refusalStrength {
-		refusal = min(refusal*refusalGrowth, maxRefusal)
+// recordProgress records that a stream with some contents has sent a number of events.
+func (l *ledger) recordProgress(now time.Time, hashes []identifier.ContentHash, events int) {
+	for _, hash := range hashes {
+		if known, found := l.contents[hash]; found && known.refute(now, events) {
+			l.outdated = true
+		}
 	}
-	spread := uint64(refusal / spreadDivisor)
-	delay := xxhash.Sum64String(string(l.node)+"/"+known.hash.String()) % spread
-	return known.lastCrash().Add(refusal + time.Duration(delay))
 }
 
-// explains reports whether another content was in a crash and has at least a given strength.
-func (l *ledger) explains(crash federator.CrashedRun, except *content, strength int) bool {
-	for _, other := range l.contents {
-		if other == except || !slices.ContainsFunc(other.live(), func(run federator.CrashedRun) bool { return isSameCrash(run, crash) }) {
-			continue
-		}
-		if other.strength() >= strength {
-			return true
+// nextProof returns the least number of events at which a stream refutes a crash of one of its contents.
+func (l *ledger) nextProof(hashes []identifier.ContentHash) int {
+	next := math.MaxInt
+	for _, hash := range hashes {
+		if known, found := l.contents[hash]; found {
+			for _, run := range known.live() {
+				next = min(next, refutedAt(run))
+			}
 		}
 	}
-	return false
+	return next
 }
 
-// lasts reports whether a gateway that starts later has to know one of some contents.
-func (l *ledger) lasts(hashes []identifier.ContentHash) bool {
-	return slices.ContainsFunc(hashes, func(hash identifier.ContentHash) bool {
-		known, found := l.contents[hash]
-		return found && known.isRepeated()
-	})
+// markAnswered records when a content was answered, if it is known.
+func (l *ledger) markAnswered(now time.Time, hash identifier.ContentHash, at time.Time) {
+	known, found := l.contents[hash]
+	if !found || !at.After(known.answeredAt) {
+		return
+	}
+	before := known.strength()
+	known.answeredAt = at
+	if known.strength() != before {
+		known.change(now)
+		l.outdated = true
+	}
 }
 
-// merge adds what another gateway has reported and returns the runs that are new here.
-func (l *ledger) merge(now time.Time, report federator.CrashReport) []federator.CrashedRun {
-	var added []federator.CrashedRun
+// merge adds what another gateway has reported. It returns the runs that are new here, and whether one of the contents may be
+// refused now.
+func (l *ledger) merge(now time.Time, report federator.CrashReport) (added []federator.CrashedRun, refusable bool) {
 	for _, run := range report.Runs {
-		if now.Sub(run.At) <= suspicionExpiry-maxReportDelay && l.add(now, run) {
+		if now.Sub(run.At) <= evidenceExpiry-maxReportDelay && l.add(now, run, "") {
 			added = append(added, run)
 		}
 	}
-	for hash, at := range report.AnsweredContents {
+	for hash, at := range report.Answered {
 		if !at.After(now) {
 			l.markAnswered(now, hash, at)
 		}
 	}
-	l.expire(now)
-	return slices.DeleteFunc(added, func(run federator.CrashedRun) bool { return l.contents[run.Content] == nil })
+	added = slices.DeleteFunc(added, func(run federator.CrashedRun) bool { return l.contents[run.Content] == nil })
+	for _, run := range added {
+		refusable = refusable || l.contents[run.Content].strength() >= refusalStrength
+	}
+	return added, refusable
 }
 
-// report adds to a report what the ledger holds: everything, or only what is new.
-func (l *ledger) report(now time.Time, r *federator.CrashReport, onlyNew bool) {
-	r.AnsweredContents = map[identifier.ContentHash]time.Time{}
-	for _, hash := range slices.Sorted(maps.Keys(l.contents)) {
-		known := l.contents[hash]
-		if onlyNew && now.Sub(known.changedAt) > newsTime {
-			continue
+// report returns what is known of the strongest contents.
+func (l *ledger) report() federator.CrashReport {
+	return reportOf(l.strongest(slices.Collect(maps.Values(l.contents)), maxReportedContents))
+}
+
+// news returns what has changed lately: first what has been in the fewest reports.
+func (l *ledger) news(now time.Time) federator.CrashReport {
+	var changed []*content
+	for _, known := range l.contents {
+		if now.Sub(known.changedAt) <= newsTime {
+			changed = append(changed, known)
 		}
-		r.Runs = append(r.Runs, known.live()...)
+	}
+	if len(changed) > maxNewsContents {
+		slices.SortFunc(changed, func(x, y *content) int { return cmp.Or(cmp.Compare(x.sent, y.sent), compareStrength(x, y)) })
+		changed = changed[:maxNewsContents]
+	}
+	for _, known := range changed {
+		known.sent++
+	}
+	return reportOf(changed)
+}
+
+func reportOf(contents []*content) federator.CrashReport {
+	r := federator.CrashReport{Answered: map[identifier.ContentHash]time.Time{}}
+	for _, known := range contents {
+		r.Runs = append(r.Runs, known.unanswered()...)
 		if !known.answeredAt.IsZero() {
-			r.AnsweredContents[hash] = known.answeredAt
+			r.Answered[known.hash] = known.answeredAt
 		}
 	}
+	return r
 }
 
-// dropCrash removes the runs of a crash whose request is known otherwise.
-func (l *ledger) dropCrash(site identifier.CrashSite, at time.Time) {
-	crash := federator.CrashedRun{Site: site, At: at}
-	for _, known := range l.contents {
-		known.crashes = slices.DeleteFunc(known.crashes, func(run federator.CrashedRun) bool { return isSameCrash(run, crash) })
+// strongest returns a number of the contents, those with the strongest evidence.
+func (l *ledger) strongest(contents []*content, most int) []*content {
+	slices.SortFunc(contents, compareStrength)
+	return contents[:min(len(contents), most)]
+}
+
+// compareStrength orders contents by their evidence, the strongest first. Parts precede requests as a whole, which are seldom
+// sent again.
+func compareStrength(x, y *content) int {
+	return cmp.Or(cmp.Compare(y.strength(), x.strength()), cmp.Compare(y.outages(), x.outages()), compareWhole(x, y),
+		y.lastCrash().Compare(x.lastCrash()), cmp.Compare(x.hash, y.hash))
+}
+
+func compareWhole(x, y *content) int {
+	switch {
+	case x.whole == y.whole:
+		return 0
+	case y.whole:
+		return -1
 	}
-	maps.DeleteFunc(l.contents, func(_ identifier.ContentHash, known *content) bool { return len(known.crashes) == 0 })
+	return 1
 }
 
 // expire removes contents whose last crash is long ago.
 func (l *ledger) expire(now time.Time) {
+	if now.Before(l.expireAt) {
+		return
+	}
+	l.expireAt = now.Add(expiryInterval)
+	before := len(l.contents)
 	maps.DeleteFunc(l.contents, func(_ identifier.ContentHash, known *content) bool {
 		expiry := loneCrashExpiry
-		if known.isRepeated() {
-			expiry = suspicionExpiry
+		if known.isLasting() {
+			expiry = evidenceExpiry
 		}
 		return now.Sub(known.lastCrash()) > expiry
 	})
+	l.outdated = l.outdated || len(l.contents) != before
 }
 
-// enforceBound removes the contents beyond maxContents: those with the fewest crashes, and of these the ones whose last
-// crash is the oldest. All gateways thus keep the same ones.
+// enforceBound removes an eighth of the contents if there are more than maxContents: those with the weakest evidence, and of
+// these the ones of the customers that have the most, the oldest first. All gateways thus keep the same ones, and none of
+// the customers displaces what is known of another.
 func (l *ledger) enforceBound() {
 	if len(l.contents) <= maxContents {
 		return
 	}
-	least := slices.MinFunc(slices.Collect(maps.Values(l.contents)), func(x, y *content) int {
-		return cmp.Or(cmp.Compare(x.outages(), y.outages()), x.lastCrash().Compare(y.lastCrash()), cmp.Compare(x.hash, y.hash))
+	all := slices.Collect(maps.Values(l.contents))
+	perCustomer := map[identifier.CustomerHash]int{}
+	for _, known := range all {
+		perCustomer[known.customer()]++
+	}
+	slices.SortFunc(all, func(x, y *content) int {
+		return cmp.Or(cmp.Compare(x.strength(), y.strength()), cmp.Compare(x.outages(), y.outages()),
+			cmp.Compare(perCustomer[y.customer()], perCustomer[x.customer()]), -compareWhole(x, y),
+			x.lastCrash().Compare(y.lastCrash()), cmp.Compare(x.hash, y.hash))
 	})
-	delete(l.contents, least.hash)
+	for _, known := range all[:len(all)-maxContents+maxContents/8] {
+		delete(l.contents, known.hash)
+	}
 }
 
-// add adds a crashed run and reports whether it was new. Another run in a crash that is known makes it appear earlier at
-// most, since delays make crashes appear later than they were.
-func (c *content) add(now time.Time, run federator.CrashedRun) bool {
+// content is what is known of one content.
+type content struct {
+	hash  identifier.ContentHash
+	whole bool
+	// part is the part of a prompt that the content is, if this gateway has seen it.
+	part identifier.PromptPart
+	// crashes is sorted by time.
+	crashes []federator.CrashedRun
+	// answeredAt is when the content was last shown to be sound, for any gateway.
+	answeredAt time.Time
+	// changedAt is when this gateway last learned something new of the content, and sent the number of reports since then.
+	changedAt time.Time
+	sent      int
+}
+
+// add adds a run. It reports whether its crash was new, and whether anything has changed but the time of a known crash. Another
+// run in a known crash makes that appear earlier at most, since delays make crashes appear later than they were.
+func (c *content) add(now time.Time, run federator.CrashedRun) (isNew, changed bool) {
 	if i := slices.IndexFunc(c.crashes, func(known federator.CrashedRun) bool { return isSameCrash(known, run) }); i >= 0 {
-		known := &c.crashes[i]
-		if run.At.Before(known.At) {
-			known.At = run.At
-		}
-		if run.SentAt.Before(known.SentAt) {
-			known.SentAt = run.SentAt
+		changed = merge(&c.crashes[i], run)
+		if changed {
+			c.change(now)
 		}
-		return false
+		return false, changed
 	}
 	if !run.At.After(c.answeredAt) {
-		return false
+		return false, false
 	}
 	c.crashes = append(c.crashes, run)
 	slices.SortFunc(c.crashes, func(x, y federator.CrashedRun) int { return x.At.Compare(y.At) })
 	c.crashes = c.crashes[max(0, len(c.crashes)-maxCrashesPerContent):]
 	if !slices.Contains(c.crashes, run) {
-		return false
+		return false, false
 	}
-	c.changedAt = now
-	return true
+	c.change(now)
+	return true, true
 }
 
-// live returns the crashes since the content was last answered.
-func (c *content) live() []federator.CrashedRun {
+// merge adds another run of the same content in the same crash and reports whether it changes more than times.
+func merge(known *federator.CrashedRun, run federator.CrashedRun) bool {
+	before := *known
+	if run.At.Before(known.At) {
+		known.At = run.At
+	}
+	if run.SentAt.Before(known.SentAt) {
+		known.SentAt = run.SentAt
+	}
+	known.Responding = known.Responding || run.Responding
+	if run.Events > known.Events {
+		known.Events, known.Refuted = run.Events, false
+	}
+	known.Refuted = known.Refuted || run.Refuted && run.Events == known.Events
+	if known.Customer != run.Customer {
+		known.Customer = 0
+	}
+	before.At, before.SentAt = known.At, known.SentAt
+	return *known != before
+}
+
+func (c *content) change(now time.Time) {
+	c.changedAt, c.sent = now, 0
+}
+
+// unanswered returns the crashes since the content was last answered.
+func (c *content) unanswered() []federator.CrashedRun {
 	for i, run := range c.crashes {
 		if run.At.After(c.answeredAt) {
 			return c.crashes[i:]
@@ -268,31 +381,108 @@
 	return nil
 }
 
+// live returns those of the crashes since the last answer that no stream has refuted.
+func (c *content) live() []federator.CrashedRun {
+	runs := c.unanswered()
+	if !slices.ContainsFunc(runs, func(run federator.CrashedRun) bool { return run.Refuted }) {
+		return runs
+	}
+	return slices.DeleteFunc(slices.Clone(runs), func(run federator.CrashedRun) bool { return run.Refuted })
+}
+
+// refute refutes the crashes that a stream with the content has gone well past, and reports whether there was one.
+func (c *content) refute(now time.Time, events int) bool {
+	found := false
+	for i := range c.crashes {
+		run := &c.crashes[i]
+		if !run.Refuted && run.At.After(c.answeredAt) && events >= refutedAt(*run) {
+			run.Refuted, found = true, true
+		}
+	}
+	if found {
+		c.change(now)
+	}
+	return found
+}
+
+// refutedAt returns the number of events by which another stream with the same content refutes a crash.
+func refutedAt(run federator.CrashedRun) int {
+	return proofFactor*run.Events + proofMargin
+}
+
+// isCounted reports, for each of the live crashes in turn, whether it counts after the last one that did.
+func (c *content) isCounted(last, run federator.CrashedRun) bool {
+	return c.answeredAt.IsZero() || last.At.IsZero() || run.SentAt.IsZero() || !run.SentAt.Before(last.At.Add(-delayTolerance))
+}
+
 // outages returns the number of crashes since the last answer that count separately.
 func (c *content) outages() int {
-	n := 0
+	return len(c.counted(c.live()))
+}
+
+// counted returns those of the live crashes that count separately.
+func (c *content) counted(live []federator.CrashedRun) []federator.CrashedRun {
+	var out []federator.CrashedRun
 	var last federator.CrashedRun
-	for _, run := range c.live() {
-		if n > 0 && !c.answeredAt.IsZero() && run.SentAt.Before(last.At.Add(-delayTolerance)) {
-			continue
+	for _, run := range live {
+		if c.isCounted(last, run) {
+			out = append(out, run)
+			last = run
 		}
-		n++
-		last = run
 	}
-	return n
+	return out
 }
 
-// strength returns how strongly the content is suspected.
+// strength returns how strongly the content is suspected by itself.
 func (c *content) strength() int {
-	isWeak := !c.answeredAt.IsZero() || slices.ContainsFunc(c.live(), func(run federator.CrashedRun) bool { return run.Grouped })
-	if isWeak {
-		return c.outages() - 1
+	return c.strengthOf(c.live())
+}
+
+// strengthOf returns the strength of some of the live crashes. The first one after an answer does not count, and of the others
+// not the least one if a group, or a request as a whole in the middle of its response, has crashed.
+func (c *content) strengthOf(live []federator.CrashedRun) int {
+	strength, least := 0, 0
+	for i, run := range c.counted(live) {
+		if i == 0 && !c.answeredAt.IsZero() {
+			continue
+		}
+		weight, discount := 1, 0
+		if run.IsBeginning() {
+			weight = beginningWeight
+		} else if run.Grouped || c.whole && run.Events > 0 {
+			discount = weight
+		}
+		strength += weight
+		least = max(least, discount)
 	}
-	return c.outages()
+	return strength - least
+}
+
+// blames reports whether a customer's requests with the content crashed upstreams, or those of several customers did, in
+// several crashes.
+func (c *content) blames(customer identifier.CustomerHash) bool {
+	if c.whole {
+		return true
+	}
+	live := c.live()
+	several := false
+	for _, run := range live {
+		if run.Customer == customer {
+			return true
+		}
+		several = several || run.Customer == 0 || run.Customer != live[0].Customer
+	}
+	return several && c.outages() > 1
+}
+
+// customer returns the customer of the last crash, or 0 if there are several.
+func (c *content) customer() identifier.CustomerHash {
+	return c.crashes[len(c.crashes)-1].Customer
 }
 
-func (c *content) isRepeated() bool {
-	return c.outages() > 1
+// isLasting reports whether the content is suspected strongly enough to be kept and stored for long.
+func (c *content) isLasting() bool {
+	return c.outages() > 1 || c.strength() >= refusalStrength
 }
 
 func (c *content) lastCrash() time.Time {
--- a/internal/request/screener/screener_test.go
+++ b/internal/request/screener/screener_test.go
@@ -16,7 +16,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newScreener(node identifier.Node) *screener.Screener {
-	return screener.New(screener.Config{Node: node, Incarnation: 1})
+	return screener.New(screener.Config{Node: node})
 }
 
 func prompt(customer identifier.Customer, request identifier.PromptPart, parts ...identifier.PromptPart) screener.Prompt {
@@ -121,7 +121,7 @@
 	b.RecordAnswer(start, prompt("c", "r0", "subject"))
 	a.RecordCrash(start.Add(time.Second), crashedRank(prompt("c", "r1", "subject", "deadly"), true))
 	now := start.Add(1100 * time.Millisecond)
-	require.Len(t, b.Merge(now, a.Report(now)).Suspicions, 1)
+	require.Len(t, b.Merge(now, a.Report(now)).Runs, 3, "the request and both parts")
 	require.True(t, b.Merge(now, a.Report(now)).IsEmpty())
 	require.True(t, refused(b.Verdict(now, prompt("c", "r2", "other", "deadly"))))
 	require.IsType(t, screener.Isolated{}, a.Verdict(now, prompt("c", "r3", "subject")))
@@ -144,15 +144,11 @@
 		a.Merge(late, delayed(b.Report(now)))
 	}
 	require.Equal(t, screener.Clear{}, a.Verdict(start.Add(21*time.Minute), again))
-	require.Empty(t, a.Report(start.Add(21*time.Minute)).Suspicions)
+	require.Empty(t, a.Report(start.Add(21*time.Minute)).Runs)
 }
 
 // delayed returns a report as it appears after 100 ms on the network: its times are sent as ages.
 func delayed(r federator.CrashReport) federator.CrashReport {
-	r.Suspicions = slices.Clone(r.Suspicions)
-	for i := range r.Suspicions {
-		r.Suspicions[i].At = r.Suspicions[i].At.Add(100 * time.Millisecond)
-	}
 	r.Runs = slices.Clone(r.Runs)
 	for i := range r.Runs {
 		r.Runs[i].At = r.Runs[i].At.Add(100 * time.Millisecond)
@@ -170,10 +166,13 @@
 	for i := range 1000 {
 		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		part := identifier.PromptPart(fmt.Sprint("part", i))
-		s.RecordCrash(at, crashedRank(prompt(identifier.Customer(fmt.Sprint("loud", i%3)), part, part), true))
+		crash := crashedRank(prompt(identifier.Customer(fmt.Sprint("loud", i%3)), part, part), true)
+		// Within two seconds, crashes of one group would be one.
+		crash.Site = identifier.CrashSite(1000 + i)
+		s.RecordCrash(at, crash)
 	}
 	now := start.Add(20 * time.Second)
-	require.LessOrEqual(t, len(s.Report(now).Suspicions), 32)
+	require.LessOrEqual(t, len(s.Report(now).Runs), 64)
 	for i := range 1000 {
 		own := identifier.PromptPart(fmt.Sprint("t/", i))
 		s.RecordCrash(now, screener.Crash{Prompt: prompt("t", own), Site: identifier.CrashSite(2 + i%50)})
@@ -201,11 +200,11 @@
 		news = 0
 		for i, from := range fleet {
 			report := from.Report(now)
-			require.LessOrEqual(t, len(report.Suspicions), 32)
+			require.LessOrEqual(t, len(report.Runs), 64)
 			for j, to := range fleet {
 				if i != j {
 					added := to.Merge(now.Add(100*time.Millisecond), delayed(report))
-					news += len(added.Suspicions) + len(added.Runs)
+					news += len(added.Runs)
 				}
 			}
 		}
--- /dev/null
+++ b/internal/request/screener/streams_test.go
@@ -0,0 +1,354 @@
+package screener_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"currantledge.example/currantledge/internal/connection/federator"
+	"currantledge.example/currantledge/internal/process/identifier"
+	"currantledge.example/currantledge/internal/request/screener"
+)
+
+const (
+	// maxTrialWait is how long a request waits for the trial of another one.
+	maxTrialWait = 500 * time.Millisecond
+	// knownCrashes is the number of crashes after which a part is known, in the users' bound for streams.
+	knownCrashes = 5
+	// beforeHead is the event of a crash before the head of the response.
+	beforeHead = -1
+)
+
+// scenario is one load of streams, some of which hold a part that crashes upstreams.
+type scenario struct {
+	gateways, upstreams, groups, callers int
+	// crashEvent is the number of events that an upstream has sent when it crashes, or beforeHead.
+	crashEvent int
+	// shared is the number of parts that all streams share, and place the position of the deadly part among them.
+	shared, place int
+	// ownParts gives each stream a part of its own beside the shared ones.
+	ownParts bool
+	// deadlyParts is the number of parts that crash upstreams; deadly streams hold one of them.
+	deadlyParts   int
+	events        int
+	eventInterval time.Duration
+	soundPerS     float64
+	deadlyPerS    float64
+}
+
+// drawScenario draws from all loads that the screener answers.
+func drawScenario(random *rand.Rand) scenario {
+	pick := func(values ...int) int { return values[random.IntN(len(values))] }
+	s := scenario{
+		gateways: pick(1, 2, 7), upstreams: pick(4, 8, 16), callers: pick(1, 1, 3, 10), crashEvent: pick(beforeHead, 0, 1, 2, 5, 20),
+		shared: pick(1, 2, 6), ownParts: random.IntN(2) == 0, deadlyParts: pick(1, 1, 2), eventInterval: 40 * time.Millisecond,
+		soundPerS: float64(pick(20, 60)), deadlyPerS: float64(pick(1, 3)),
+	}
+	s.events = s.crashEvent + pick(2, 9, 30)
+	s.events = max(s.events, 5)
+	s.place = random.IntN(s.shared + 1)
+	if random.IntN(3) == 0 {
+		s.groups = pick(1, 2)
+	}
+	return s
+}
+
+// openStream is a stream on an upstream of the simulated service.
+type openStream struct {
+	prompt   screener.Prompt
+	deadly   bool
+	gateway  int
+	upstream int
+	began    time.Time
+	events   int
+	attempt  int
+	trial    identifier.PromptPart
+	run      *screener.Run
+	canceled bool
+	waits    time.Time
+}
+
+// streamFleet simulates gateways in front of the upstreams of a service with streams.
+type streamFleet struct {
+	scenario
+	random  *rand.Rand
+	gates   []*screener.Screener
+	upAt    []time.Time
+	open    []*openStream
+	waiting []*openStream
+	crashes []time.Time
+	perPart map[string][]time.Time
+	late    map[string]int
+	serial  int
+	sound   int
+	refused int
+	lost    int
+	reports []delivery
+}
+
+type delivery struct {
+	due    time.Time
+	from   int
+	report federator.CrashReport
+}
+
+func newStreamFleet(s scenario, seed uint64) *streamFleet {
+	f := &streamFleet{
+		scenario: s, random: rand.New(rand.NewPCG(seed, 1)), upAt: make([]time.Time, s.upstreams), perPart: map[string][]time.Time{},
+		late: map[string]int{},
+	}
+	for i := range s.gateways {
+		f.gates = append(f.gates, newScreener(identifier.Node(fmt.Sprint("n", i))))
+	}
+	return f
+}
+
+func (f *streamFleet) newStream(deadly bool) *openStream {
+	f.serial++
+	var parts []identifier.PromptPart
+	for i := range f.shared {
+		parts = append(parts, identifier.PromptPart(fmt.Sprint("shared", i)))
+	}
+	if deadly {
+		part := identifier.PromptPart(fmt.Sprint("deadly", f.random.IntN(f.deadlyParts)))
+		parts = slices.Insert(parts, f.place, part)
+	}
+	if f.ownParts {
+		parts = append(parts, identifier.PromptPart(fmt.Sprint("own", f.serial)))
+	}
+	customer := identifier.Customer(fmt.Sprint("c", f.random.IntN(f.callers)))
+	return &openStream{
+		prompt: prompt(customer, identifier.PromptPart(fmt.Sprint(customer, "/", f.serial)), parts...), deadly: deadly,
+		gateway: f.random.IntN(f.gateways),
+	}
+}
+
+func (f *streamFleet) deadlyPartOf(o *openStream) string {
+	for _, part := range o.prompt.Parts {
+		if part[0] == 'd' {
+			return string(part)
+		}
+	}
+	return ""
+}
+
+// submit sends a stream to an upstream. One that has to wait is submitted again in the next step.
+func (f *streamFleet) submit(now time.Time, o *openStream, exclude int) {
+	g := f.gates[o.gateway]
+	switch v := g.Verdict(now, o.prompt).(type) {
+	case screener.Refused:
+		f.end(o, o.attempt == 0, true)
+		return
+	case screener.Isolated:
+		if !g.BeginTrial(v.Part) {
+			if o.waits.IsZero() {
+				o.waits = now
+			}
+			if now.Sub(o.waits) > maxTrialWait {
+				f.end(o, o.attempt == 0, true)
+				return
+			}
+			f.waiting = append(f.waiting, o)
+			return
+		}
+		o.trial = v.Part
+	case screener.Clear:
+	}
+	var up []int
+	for i, at := range f.upAt {
+		if i != exclude && !now.Before(at) {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		f.endTrial(o)
+		f.waiting = append(f.waiting, o)
+		return
+	}
+	o.upstream, o.began, o.events, o.waits = up[f.random.IntN(len(up))], now, 0, time.Time{}
+	if o.trial != "" {
+		o.upstream = slices.MaxFunc(up, func(x, y int) int {
+			return cmp.Compare(xxhash.Sum64String(fmt.Sprint(o.trial, x)), xxhash.Sum64String(fmt.Sprint(o.trial, y)))
+		})
+	}
+	o.run = g.Begin(o.prompt, func() { o.canceled = true })
+	f.open = append(f.open, o)
+	if part := f.deadlyPartOf(o); part != "" {
+		if known := f.perPart[part]; len(known) >= knownCrashes && now.Sub(known[knownCrashes-1]) > knownAfter {
+			f.late[part]++
+		}
+	}
+}
+
+// end ends a stream without a complete response.
+func (f *streamFleet) end(o *openStream, unrun, refused bool) {
+	f.endTrial(o)
+	switch {
+	case o.deadly:
+	case refused && unrun:
+		f.refused++
+	default:
+		f.lost++
+	}
+}
+
+func (f *streamFleet) endTrial(o *openStream) {
+	if o.trial != "" {
+		f.gates[o.gateway].EndTrial(o.trial)
+		o.trial = ""
+	}
+}
+
+// advance plays the streams of one step.
+func (f *streamFleet) advance(now time.Time) {
+	crashed := map[int]bool{}
+	f.open = slices.DeleteFunc(f.open, func(o *openStream) bool {
+		g := f.gates[o.gateway]
+		if o.canceled {
+			o.run.End()
+			f.end(o, false, true)
+			return true
+		}
+		passed := int(now.Sub(o.began) / f.eventInterval)
+		if o.deadly && passed > f.crashEvent {
+			crashed[o.upstream] = true
+		}
+		if events := min(passed-1, f.events); events > o.events && !crashed[o.upstream] {
+			o.events = events
+			o.run.RecordEvents(now, events)
+			if _, is := g.Verdict(now, o.prompt).(screener.Clear); is {
+				f.endTrial(o)
+			}
+		}
+		if o.events < f.events {
+			return false
+		}
+		o.run.End()
+		f.endTrial(o)
+		g.RecordAnswer(now, o.prompt)
+		return true
+	})
+	for _, upstream := range slices.Sorted(maps.Keys(crashed)) {
+		f.crash(now, upstream)
+	}
+}
+
+func (f *streamFleet) groupOf(upstream int) int {
+	return upstream % max(f.groups, 1)
+}
+
+// crash ends an upstream with all that it runs, which the gateways send once more. The other ranks of its group cut theirs.
+func (f *streamFleet) crash(now time.Time, upstream int) {
+	f.crashes = append(f.crashes, now)
+	var broken []*openStream
+	f.open = slices.DeleteFunc(f.open, func(o *openStream) bool {
+		ends := o.upstream == upstream || f.groups > 0 && f.groupOf(o.upstream) == f.groupOf(upstream)
+		if ends {
+			broken = append(broken, o)
+		}
+		return ends
+	})
+	for i := range f.upAt {
+		if i == upstream || f.groups > 0 && f.groupOf(i) == f.groupOf(upstream) {
+			f.upAt[i] = now.Add(restartTime)
+		}
+	}
+	reporters := map[int]bool{}
+	for _, o := range broken {
+		f.endTrial(o)
+		o.run.End()
+		if o.upstream != upstream {
+			continue
+		}
+		if part := f.deadlyPartOf(o); part != "" && o.events >= f.crashEvent {
+			f.perPart[part] = append(f.perPart[part], now)
+		}
+		site := identifier.CrashSite(1 + upstream)
+		if f.groups > 0 {
+			site = identifier.CrashSite(1000 + f.groupOf(upstream))
+		}
+		f.gates[o.gateway].RecordCrash(now, screener.Crash{
+			Prompt: o.prompt, Site: site, Grouped: f.groups > 0, SentAt: o.began, Events: o.events,
+			Responding: f.crashEvent >= 0 || o.events > 0,
+		})
+		reporters[o.gateway] = true
+	}
+	for _, gateway := range slices.Sorted(maps.Keys(reporters)) {
+		f.report(now, gateway)
+	}
+	f.random.Shuffle(len(broken), func(i, j int) { broken[i], broken[j] = broken[j], broken[i] })
+	for _, o := range broken {
+		if o.attempt++; o.attempt == attempts {
+			f.end(o, false, false)
+			continue
+		}
+		f.submit(now, o, upstream)
+	}
+}
+
+// report sends what is new at a gateway to all others.
+func (f *streamFleet) report(now time.Time, from int) {
+	if report := f.gates[from].News(now); !report.IsEmpty() {
+		f.reports = append(f.reports, delivery{now.Add(reportDelay), from, report})
+	}
+}
+
+// play plays streams for some seconds; deadly ones come from the second one on.
+func (f *streamFleet) play(length time.Duration) {
+	arrives := func(perS float64) bool { return f.random.Float64() < perS*step.Seconds() }
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		for len(f.reports) > 0 && !now.Before(f.reports[0].due) {
+			for i, g := range f.gates {
+				if i != f.reports[0].from {
+					g.Merge(now, f.reports[0].report)
+				}
+			}
+			f.reports = f.reports[1:]
+		}
+		f.advance(now)
+		if now.Sub(start)%sendInterval == 0 {
+			for i := range f.gates {
+				f.report(now, i)
+			}
+		}
+		waiting := f.waiting
+		f.waiting = nil
+		for _, o := range waiting {
+			f.submit(now, o, -1)
+		}
+		if arrives(f.soundPerS) {
+			f.sound++
+			f.submit(now, f.newStream(false), -1)
+		}
+		if now.Sub(start) > 2*time.Second && arrives(f.deadlyPerS) {
+			f.submit(now, f.newStream(true), -1)
+		}
+	}
+}
+
+// Load: streams of which a few hold a part that crashes each upstream which answers them. Guards against a part that is
+// not found because of the event of the crash, its place in the prompt, the number of parts, callers, upstreams or gateways,
+// or the streams that end with it, and against sound streams that are refused for it (review case 11).
+func TestDeadlyPartOfStreamsIsRefused(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := drawScenario(rand.New(rand.NewPCG(seed, 0)))
+			f := newStreamFleet(s, seed)
+			f.play(28 * time.Second)
+			t.Logf("seed %d: %d crashes, late %v; of %d sound streams %d refused, %d lost: %+v", seed, len(f.crashes), f.late, f.sound, f.refused, f.lost, s)
+			require.Zero(t, f.refused)
+			for part, late := range f.late {
+				require.LessOrEqual(t, late, maxLateRuns, part)
+			}
+		})
+	}
+}
