Apply the limits of client requests that are in force, not those of the accept

Cause: the limit of heads was stored in the connection when it was accepted. The limits of time were constants (5 s, 30 s), and heads were cut at 64 KiB, whatever the configuration said. Change: the limit is read when a head begins and again when the head exceeds it; the larger one holds. The listener closes connections by the time-outs in force. Calls of Expire in TestBodiesExpire pass no time-outs.

--- a/internal/connection/accepter/accepter.go
+++ b/internal/connection/accepter/accepter.go
@@ -28,7 +28,7 @@
 	defaultHeaderBytes = 16 << 10
 	// defaultBodyTimeout is how long a body may take whose request has set no other time.
 	defaultBodyTimeout = 30 * time.Second
-	// checkInterval is the time between two checks for bodies that did not arrive in time.
+	// checkInterval is the time between two checks for heads and bodies that did not arrive in time.
 	checkInterval = 500 * time.Millisecond
 	// reportInterval is the time between two log lines about what was closed and refused.
 	reportInterval = 5 * time.Second
@@ -62,8 +62,12 @@
 	// Name is the name of the listener in the log.
 	Name   string
 	Limits shedder.Limits
-	// HeaderBytes returns the limit of heads; 16 KiB if it is nil or returns no limit.
+	// HeaderBytes returns the limit of heads; 16 KiB if it is nil or returns no limit. A head may have the limit that holds
+	// when it begins or when it exceeds that, whichever is larger, so that no client is refused what a configuration allows.
 	HeaderBytes func() int
+	// Timeouts returns how long a head may take, and how long a connection may be idle, at present. Without it, or if they are
+	// 0, only those of the server hold.
+	Timeouts func() (head, idle time.Duration)
 	// CountBodies makes the listener count the bodies of requests. Handlers that count them do not need it.
 	CountBodies bool
 	Log         *logger.Logger
@@ -145,12 +149,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &connection{Conn: raw, listener: l, limit: defaultHeaderBytes + headSlack}
-		if l.cfg.HeaderBytes != nil {
-			if n := l.cfg.HeaderBytes(); n > 0 {
-				c.limit = n + headSlack
-			}
-		}
+		c := &connection{Conn: raw, listener: l}
 		// Other connections may shed this one before its holder is set; Shed does not use it.
 		var ok bool
 		if c.holder, ok = l.shedder.Open(time.Now(), c); ok {
@@ -161,6 +160,16 @@
 	}
 }
 
+// headLimit returns how many bytes may be read for a head at present.
+func (l *Listener) headLimit() int {
+	if l.cfg.HeaderBytes != nil {
+		if n := l.cfg.HeaderBytes(); n > 0 {
+			return n + headSlack
+		}
+	}
+	return defaultHeaderBytes + headSlack
+}
+
 // Close closes the listener. Its connections remain open.
 func (l *Listener) Close() error {
 	l.closing.Do(func() { close(l.closed) })
@@ -192,7 +201,7 @@
 	return l.oversized.Load()
 }
 
-// Expired returns the bodies that did not arrive in time.
+// Expired returns the heads and bodies that did not arrive in time.
 func (l *Listener) Expired() int64 {
 	return l.shedder.Counts().Expired
 }
@@ -202,7 +211,7 @@
 	return totals{shed: l.Shed(), refused: l.Refused(), oversized: l.Oversized(), expired: l.Expired()}
 }
 
-// watch ends the bodies that did not arrive in time, and reports, until the listener and its connections are closed. A
+// watch ends the heads and bodies that did not arrive in time, and reports, until the listener and its connections are closed. A
 // planned stop closes the listener first and then waits for the open requests.
 func (l *Listener) watch() {
 	ticker := time.NewTicker(checkInterval)
@@ -214,7 +223,7 @@
 		case <-closed:
 			closed, isClosed = nil, true
 		case now := <-ticker.C:
-			l.shedder.Expire(now)
+			l.shedder.Expire(now, l.timeouts())
 			if now.Sub(reportedAt) >= reportInterval {
 				reportedAt = now
 				l.report()
@@ -226,6 +235,15 @@
 	}
 }
 
+// timeouts returns the present times after which the shedder closes connections.
+func (l *Listener) timeouts() shedder.Timeouts {
+	if l.cfg.Timeouts == nil {
+		return shedder.Timeouts{}
+	}
+	head, idle := l.cfg.Timeouts()
+	return shedder.Timeouts{Head: head, Idle: idle}
+}
+
 // report logs what has been decided since the last report.
 func (l *Listener) report() {
 	t, last := l.totals(), l.reported
--- a/internal/connection/accepter/accepter_test.go
+++ b/internal/connection/accepter/accepter_test.go
@@ -23,7 +23,13 @@
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := accepter.New(inner, accepter.Config{Limits: limits, CountBodies: true})
+	return serveOn(t, inner, accepter.Config{Limits: limits, CountBodies: true}, handler)
+}
+
+// serveOn starts a server behind a Listener of a configuration until the test ends.
+func serveOn(t *testing.T, inner net.Listener, cfg accepter.Config, handler http.HandlerFunc) *accepter.Listener {
+	t.Helper()
+	l := accepter.New(inner, cfg)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: timeout, MaxHeaderBytes: 64 << 10}
 	l.Install(server)
 	done := make(chan struct{})
--- a/internal/connection/accepter/connection.go
+++ b/internal/connection/accepter/connection.go
@@ -18,7 +18,7 @@
 	net.Conn
 	listener *Listener
 	holder   *shedder.Holder
-	// limit bounds the bytes that may be read for a head.
+	// limit bounds the bytes that may be read for the present head.
 	limit int
 	// headBytes are those read for the present head, and taken what the holder has taken for it and its request.
 	headBytes int
@@ -45,7 +45,13 @@
 	if !c.holder.Enter(now, shedder.StateHead) {
 		return 0, readError(ErrNoRoom)
 	}
+	if c.headBytes == 0 {
+		c.limit = c.listener.headLimit()
+	}
 	if c.headBytes += n; c.headBytes > c.limit {
+		c.limit = max(c.limit, c.listener.headLimit())
+	}
+	if c.headBytes > c.limit {
 		c.listener.oversized.Add(1)
 		c.respond(headTooLarge)
 		return 0, readError(errHeadTooLarge)
--- a/internal/connection/accepter/connection_test.go
+++ b/internal/connection/accepter/connection_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +47,50 @@
 	require.Empty(t, string(rest))
 }
 
+// Guards against kept connections whose heads are bounded by an earlier configuration, as when clients got 431 for heads that
+// the one in force allows (review case 15), and against a head that is refused since the limit is lowered while it arrives.
+func TestHeadsHaveTheLimitInForce(t *testing.T) {
+	t.Parallel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var limit atomic.Int64
+	limit.Store(16 << 10)
+	l := serveOn(t, inner, accepter.Config{Limits: ample, HeaderBytes: func() int { return int(limit.Load()) }}, echo)
+	const begin, end = "GET / HTTP/1.1\r\nHost: h\r\nLong: ", "\r\n\r\n"
+	for _, change := range []struct {
+		name          string
+		before, after int64
+		head          int
+		status        int
+		beforeHead    bool
+	}{
+		{"raised before the head", 16 << 10, 32 << 10, 30_000, http.StatusOK, true},
+		{"raised in the head", 16 << 10, 32 << 10, 30_000, http.StatusOK, false},
+		{"lowered before the head", 32 << 10, 16 << 10, 30_000, http.StatusRequestHeaderFieldsTooLarge, true},
+		{"lowered in the head", 32 << 10, 16 << 10, 30_000, http.StatusOK, false},
+		{"raised too little", 16 << 10, 20 << 10, 30_000, http.StatusRequestHeaderFieldsTooLarge, false},
+	} {
+		limit.Store(change.before)
+		c, r := dial(t, l)
+		_, err := io.WriteString(c, begin+end)
+		require.NoError(t, err)
+		status, _ := readResponse(t, r)
+		require.Equal(t, http.StatusOK, status)
+		if change.beforeHead {
+			limit.Store(change.after)
+		}
+		held := l.Bytes()
+		_, err = io.WriteString(c, begin+strings.Repeat("x", 10_000))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return l.Bytes() >= held+10_000 }, timeout, time.Millisecond)
+		limit.Store(change.after)
+		_, err = io.WriteString(c, strings.Repeat("x", change.head-10_000)+end)
+		require.NoError(t, err)
+		status, _ = readResponse(t, r)
+		require.Equal(t, change.status, status, change.name)
+	}
+}
+
 // Guards against a response that waits for a body which the client only sends after a 100.
 func TestExpectationIsAnsweredWithoutTheBody(t *testing.T) {
 	t.Parallel()
--- a/internal/connection/shedder/shedder.go
+++ b/internal/connection/shedder/shedder.go
@@ -82,7 +82,7 @@
 	Shed int64
 	// Refused are connections and requests that there was no room for.
 	Refused int64
-	// Expired are bodies that did not arrive in time.
+	// Expired are heads and bodies that did not arrive in time.
 	Expired int64
 }
 
@@ -146,11 +146,37 @@
 	return h, true
 }
 
-// Expire ends the reads of the bodies that should have arrived by now and have not.
-func (s *Shedder) Expire(now time.Time) {
+// Timeouts bound how long connections wait for heads. Those that are 0 have no bound.
+type Timeouts struct {
+	// Head is the time from the beginning of a head, or from that of a connection without one, to its end.
+	Head time.Duration
+	// Idle is the time between two requests.
+	Idle time.Duration
+}
+
+// of returns the bound of a state, or 0.
+func (t Timeouts) of(state State) time.Duration {
+	switch state {
+	case StateNew, StateHead:
+		return t.Head
+	case StateIdle:
+		return t.Idle
+	case StateBody, StateRunning, StateRefused, StateShed:
+	}
+	return 0
+}
+
+// Expire ends the reads of the bodies that should have arrived by now and have not, and closes the connections that have waited
+// for a head for too long.
+func (s *Shedder) Expire(now time.Time, timeouts Timeouts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for h := range s.holders {
+		state := h.State()
+		if timeout := timeouts.of(state); timeout > 0 && now.UnixNano()-h.since.Load() > int64(timeout) {
+			s.closeWaiting(h, state)
+			continue
+		}
 		if until := h.bodyUntil.Load(); h.State() == StateBody && now.UnixNano() > until {
 			if h.bodyUntil.CompareAndSwap(until, math.MaxInt64) {
 				s.expired.Add(1)
@@ -160,6 +186,19 @@
 	}
 }
 
+// closeWaiting closes a connection if it still waits for a head. The caller holds mu.
+func (s *Shedder) closeWaiting(h *Holder, state State) {
+	if !h.state.CompareAndSwap(int32(state), int32(StateShed)) {
+		return
+	}
+	if state == StateHead {
+		s.expired.Add(1)
+	}
+	s.markReleasing(h)
+	s.closing++
+	h.connection.Shed()
+}
+
 // makeRoom sheds connections until the sum, in which bytes for a holder are counted already, is within the limit. It
 // reports whether the holder may have them. The caller holds mu.
 func (s *Shedder) makeRoom(now time.Time, h *Holder, bytes int64) bool {
--- a/internal/connection/shedder/shedder_test.go
+++ b/internal/connection/shedder/shedder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -173,16 +174,49 @@
 		c.holder.SetBodyUntil(s.now.Add(time.Second))
 		require.True(t, c.holder.Enter(s.now, shedder.StateBody))
 	}
-	s.Expire(s.now.Add(time.Second))
+	s.Expire(s.now.Add(time.Second), shedder.Timeouts{})
 	require.False(t, late.ended)
 	require.True(t, arrived.holder.Enter(s.now, shedder.StateRunning))
-	s.Expire(s.now.Add(2 * time.Second))
+	s.Expire(s.now.Add(2*time.Second), shedder.Timeouts{})
 	require.True(t, late.ended)
 	require.False(t, arrived.ended)
-	s.Expire(s.now.Add(3 * time.Second))
+	s.Expire(s.now.Add(3*time.Second), shedder.Timeouts{})
 	require.Equal(t, int64(1), s.Counts().Expired)
 }
 
+// Guards against connections that wait for heads longer than the configuration says, and against requests that end for that.
+func TestConnectionsThatWaitForHeadsExpire(t *testing.T) {
+	t.Parallel()
+	s := newSite()
+	states := []shedder.State{shedder.StateNew, shedder.StateHead, shedder.StateIdle, shedder.StateRunning}
+	clients := map[shedder.State]*client{}
+	for _, state := range states {
+		c, _ := s.open()
+		require.True(t, c.holder.Enter(s.now, state))
+		clients[state] = c
+	}
+	timeouts := shedder.Timeouts{Head: 5 * time.Second, Idle: 30 * time.Second}
+	for _, step := range []struct {
+		after  time.Duration
+		closed []shedder.State
+	}{
+		{5 * time.Second, nil},
+		{6 * time.Second, []shedder.State{shedder.StateNew, shedder.StateHead}},
+		{time.Minute, []shedder.State{shedder.StateNew, shedder.StateHead, shedder.StateIdle}},
+	} {
+		s.Expire(s.now.Add(step.after), shedder.Timeouts{})
+		s.Expire(s.now.Add(step.after), timeouts)
+		for _, state := range states {
+			require.Equal(t, slices.Contains(step.closed, state), clients[state].shed, "state %d after %v", state, step.after)
+		}
+	}
+	require.Equal(t, int64(1), s.Counts().Expired, "only the head had begun")
+	for _, c := range clients {
+		c.holder.Close()
+	}
+	require.Zero(t, s.Sum())
+}
+
 // Guards against a request that runs although its connection was closed for others.
 func TestClosedConnectionsStartNoRequest(t *testing.T) {
 	t.Parallel()
--- a/internal/process/gatewayrunner/gatewayrunner.go
+++ b/internal/process/gatewayrunner/gatewayrunner.go
@@ -61,13 +61,16 @@
 	maxDecisions = 16
 	// maxLoggedDigests bounds the digests in a log line on crashes that a peer has reported.
 	maxLoggedDigests = 8
-	// idleTimeout is longer than the idle timeout of any configuration, so that the gateway never closes a connection that
-	// a client is about to reuse.
-	idleTimeout = 30 * time.Second
-	// headerTimeout and maxHeaderBytes are above the limits in the users' configurations (3 s, 16 KiB). The HTTP server
-	// needs its limits before a configuration is known; the listener enforces the configured limit of bytes.
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 64 << 10
+	// minHeaderTimeout and minIdleTimeout are the limits of clients without a configuration. With one they are timeoutRatio
+	// times the configured ones if that is longer, so that the gateway closes no connection that a client is about to use.
+	minHeaderTimeout = 5 * time.Second
+	minIdleTimeout   = 30 * time.Second
+	timeoutRatio     = 1.5
+	// maxHeaderTimeout, maxIdleTimeout and maxHeaderBytes bound the configured limits. They are those of the HTTP server, which
+	// needs them before a configuration is known; the listener enforces the configured ones, which may change at any time.
+	maxHeaderTimeout = time.Minute
+	maxIdleTimeout   = 10 * time.Minute
+	maxHeaderBytes   = 1 << 20
 )
 
 // Config configures a gateway.
@@ -592,6 +595,7 @@
 	hasUpstreams := g.replicator.Version(platform.UpstreamTable) > 0
 	fleet, problems := platform.DecodeFleet(g.replicator.Rows(platform.OperatorTable),
 		g.replicator.Rows(platform.UpstreamTable), previous.Catalogue)
+	problems = append(problems, limitProblems(fleet.Catalogue)...)
 	problems = append(problems, grouper.Assign(g.replicator.Rows(grouper.Table), fleet.Upstreams)...)
 	g.logInvalidRows(problems)
 	g.fleet.Store(&fleet)
--- a/internal/process/gatewayrunner/limits.go
+++ b/internal/process/gatewayrunner/limits.go
@@ -2,10 +2,14 @@
 
 import (
 	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"currantledge.example/currantledge/internal/connection/accepter"
 	"currantledge.example/currantledge/internal/connection/shedder"
 	"currantledge.example/currantledge/internal/process/meter"
+	"currantledge.example/currantledge/internal/version/cataloguer"
 	"currantledge.example/currantledge/platform"
 )
 
@@ -58,6 +62,14 @@
 	}
 }
 
+// acceptClients returns a listener that accepts the connections of clients from another one, within the limits of the process and
+// those of the present configuration.
+func (g *gateway) acceptClients(inner net.Listener) *accepter.Listener {
+	return accepter.New(inner, accepter.Config{
+		Name: "clients", Limits: g.limits.clients, HeaderBytes: g.headerBytes, Timeouts: g.clientTimeouts, Log: g.log,
+	})
+}
+
 // accept returns a listener that accepts the connections of another one within limits.
 func (g *gateway) accept(name string, inner net.Listener, limits shedder.Limits) *accepter.Listener {
 	return accepter.New(inner, accepter.Config{Name: name, Limits: limits, HeaderBytes: g.headerBytes, Log: g.log})
@@ -71,6 +83,38 @@
 	return 0
 }
 
+// clientTimeouts returns how long heads may take and connections be idle.
+func (g *gateway) clientTimeouts() (head, idle time.Duration) {
+	var limits cataloguer.Limits
+	if catalogue := g.fleet.Load().Catalogue; catalogue != nil {
+		limits = catalogue.Limits()
+	}
+	return clientTimeout(limits.HeaderTimeout, minHeaderTimeout, maxHeaderTimeout),
+		clientTimeout(limits.IdleTimeout, minIdleTimeout, maxIdleTimeout)
+}
+
+func clientTimeout(configured, least, most time.Duration) time.Duration {
+	return min(max(least, time.Duration(timeoutRatio*float64(min(configured, most)))), most)
+}
+
+// limitProblems returns an error for each limit of a configuration that is above the largest one that a gateway follows.
+func limitProblems(catalogue *cataloguer.Catalogue) (problems []error) {
+	if catalogue == nil {
+		return nil
+	}
+	limits := catalogue.Limits()
+	if limits.HeaderBytes > maxHeaderBytes {
+		problems = append(problems, errors.Newf("limit of %d bytes for heads of clients: %d are used", limits.HeaderBytes, maxHeaderBytes))
+	}
+	if limits.HeaderTimeout > maxHeaderTimeout {
+		problems = append(problems, errors.Newf("limit of %v for heads of clients: %v is used", limits.HeaderTimeout, maxHeaderTimeout))
+	}
+	if limits.IdleTimeout > maxIdleTimeout {
+		problems = append(problems, errors.Newf("limit of %v for idle connections: %v is used", limits.IdleTimeout, maxIdleTimeout))
+	}
+	return problems
+}
+
 // publishClients publishes what the listeners hold for clients.
 func (g *gateway) publishClients(clients, ready, control *accepter.Listener) {
 	g.meter.PublishClients(map[string]meter.Clients{"clients": clients, "ready": ready, "control": control})
--- a/internal/process/gatewayrunner/run.go
+++ b/internal/process/gatewayrunner/run.go
@@ -49,7 +49,7 @@
 	defer cancel()
 	group := supervisor.New(actorCtx)
 	draining := newDrainingListener(clientListener)
-	clients := g.accept("clients", draining, g.limits.clients)
+	clients := g.acceptClients(draining)
 	ready := g.accept("ready", readyListener, g.limits.others)
 	control := g.accept("control", controlListener, g.limits.others)
 	g.publishClients(clients, ready, control)
@@ -116,8 +116,8 @@
 			ConnState:         accepted.observe,
 			ConnContext:       withConnection,
 			Handler:           accepted.handler(g.forwarder),
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
+			ReadHeaderTimeout: maxHeaderTimeout,
+			IdleTimeout:       maxIdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		}
 		clients.Install(server)
