Wait for the end of a request in the test of the limits of heads

Cause: TestHeadsHaveTheLimitInForce compared with what the listener held right after a response, when the request may not have been returned yet; it failed so once beside other tests. Change: the test waits until only the connection is held, and closes each connection.

--- a/internal/connection/accepter/connection_test.go
+++ b/internal/connection/accepter/connection_test.go
@@ -79,15 +79,16 @@
 		if change.beforeHead {
 			limit.Store(change.after)
 		}
-		held := l.Bytes()
+		require.Eventually(t, func() bool { return l.Bytes() == shedder.ConnectionBytes }, timeout, time.Millisecond)
 		_, err = io.WriteString(c, begin+strings.Repeat("x", 10_000))
 		require.NoError(t, err)
-		require.Eventually(t, func() bool { return l.Bytes() >= held+10_000 }, timeout, time.Millisecond)
+		require.Eventually(t, func() bool { return l.Bytes() >= shedder.ConnectionBytes+10_000 }, timeout, time.Millisecond)
 		limit.Store(change.after)
 		_, err = io.WriteString(c, strings.Repeat("x", change.head-10_000)+end)
 		require.NoError(t, err)
 		status, _ = readResponse(t, r)
 		require.Equal(t, change.status, status, change.name)
+		require.NoError(t, c.Close())
 	}
 }
 
