State in the package of the screener what a long stream shows

Cause: the comment said that a stream which is past the event of a crash proves its parts sound; it only shows that they did not cause that crash, as the code has it.

--- a/internal/request/screener/screener.go
+++ b/internal/request/screener/screener.go
@@ -14,8 +14,8 @@
 //     does one in the middle of the response for a request as a whole.
 //   - A complete answer proves each content of its request sound: its crashes up to then no longer count, and the first one
 //     after it does not count either, since one crash may have another reason.
-//   - A stream that has gone well past the event after which others with a content crashed proves the same for that content,
-//     sooner. Its length does not make a stream suspect.
+//   - A stream that has gone well past the event of a crash shows, before its end, that its contents did not cause that one.
+//     Other crashes still count: a part may crash upstreams after more events.
 //
 // A content is isolated at a strength of one crash: requests with it go to one upstream that all gateways choose alike, one
 // at a time at each gateway, until one of them has proved it sound. It is refused at two, unless other contents of the same
--- a/internal/request/screener/streams_test.go
+++ b/internal/request/screener/streams_test.go
@@ -62,8 +62,9 @@
 
 // openStream is a stream on an upstream of the simulated service.
 type openStream struct {
-	prompt   screener.Prompt
-	deadly   bool
+	prompt screener.Prompt
+	// deadly is the part that crashes upstreams, or empty.
+	deadly   identifier.PromptPart
 	gateway  int
 	upstream int
 	began    time.Time
@@ -84,8 +85,8 @@
 	open    []*openStream
 	waiting []*openStream
 	crashes []time.Time
-	perPart map[string][]time.Time
-	late    map[string]int
+	perPart map[identifier.PromptPart][]time.Time
+	late    map[identifier.PromptPart]int
 	serial  int
 	sound   int
 	refused int
@@ -101,8 +102,8 @@
 
 func newStreamFleet(s scenario, seed uint64) *streamFleet {
 	f := &streamFleet{
-		scenario: s, random: rand.New(rand.NewPCG(seed, 1)), upAt: make([]time.Time, s.upstreams), perPart: map[string][]time.Time{},
-		late: map[string]int{},
+		scenario: s, random: rand.New(rand.NewPCG(seed, 1)), upAt: make([]time.Time, s.upstreams), perPart: map[identifier.PromptPart][]time.Time{},
+		late: map[identifier.PromptPart]int{},
 	}
 	for i := range s.gateways {
 		f.gates = append(f.gates, newScreener(identifier.Node(fmt.Sprint("n", i))))
@@ -110,15 +111,16 @@
 	return f
 }
 
-func (f *streamFleet) newStream(deadly bool) *openStream {
+func (f *streamFleet) newStream(isDeadly bool) *openStream {
 	f.serial++
+	var deadly identifier.PromptPart
 	var parts []identifier.PromptPart
 	for i := range f.shared {
 		parts = append(parts, identifier.PromptPart(fmt.Sprint("shared", i)))
 	}
-	if deadly {
-		part := identifier.PromptPart(fmt.Sprint("deadly", f.random.IntN(f.deadlyParts)))
-		parts = slices.Insert(parts, f.place, part)
+	if isDeadly {
+		deadly = identifier.PromptPart(fmt.Sprint("deadly", f.random.IntN(f.deadlyParts)))
+		parts = slices.Insert(parts, f.place, deadly)
 	}
 	if f.ownParts {
 		parts = append(parts, identifier.PromptPart(fmt.Sprint("own", f.serial)))
@@ -130,15 +132,6 @@
 	}
 }
 
-func (f *streamFleet) deadlyPartOf(o *openStream) string {
-	for _, part := range o.prompt.Parts {
-		if part[0] == 'd' {
-			return string(part)
-		}
-	}
-	return ""
-}
-
 // submit sends a stream to an upstream. One that has to wait is submitted again in the next step.
 func (f *streamFleet) submit(now time.Time, o *openStream, exclude int) {
 	g := f.gates[o.gateway]
@@ -180,10 +173,8 @@
 	}
 	o.run = g.Begin(o.prompt, func() { o.canceled = true })
 	f.open = append(f.open, o)
-	if part := f.deadlyPartOf(o); part != "" {
-		if known := f.perPart[part]; len(known) >= knownCrashes && now.Sub(known[knownCrashes-1]) > knownAfter {
-			f.late[part]++
-		}
+	if known := f.perPart[o.deadly]; len(known) >= knownCrashes && now.Sub(known[knownCrashes-1]) > knownAfter {
+		f.late[o.deadly]++
 	}
 }
 
@@ -191,7 +182,7 @@
 func (f *streamFleet) end(o *openStream, unrun, refused bool) {
 	f.endTrial(o)
 	switch {
-	case o.deadly:
+	case o.deadly != "":
 	case refused && unrun:
 		f.refused++
 	default:
@@ -217,7 +208,7 @@
 			return true
 		}
 		passed := int(now.Sub(o.began) / f.eventInterval)
-		if o.deadly && passed > f.crashEvent {
+		if o.deadly != "" && passed > f.crashEvent {
 			crashed[o.upstream] = true
 		}
 		if events := min(passed-1, f.events); events > o.events && !crashed[o.upstream] {
@@ -269,8 +260,8 @@
 		if o.upstream != upstream {
 			continue
 		}
-		if part := f.deadlyPartOf(o); part != "" && o.events >= f.crashEvent {
-			f.perPart[part] = append(f.perPart[part], now)
+		if o.deadly != "" && o.events >= f.crashEvent {
+			f.perPart[o.deadly] = append(f.perPart[o.deadly], now)
 		}
 		site := identifier.CrashSite(1 + upstream)
 		if f.groups > 0 {
